--- /dev/null
+++ b/packages/adapters/pg.c
@@ -0,0 +1,798 @@
+/* Database instances over libpq.  */
+#include "pg.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <libpq-fe.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+#define STEPS_MAX (WIRE_STATEMENTS_MAX + 10)
+#define LEDGER "cassiabay.ledger"
+#define STATUS_SQL "SELECT * FROM cassiabay.status()"
+
+/* What the next result in the pipeline answers.  */
+enum step
+{
+  STEP_BEGIN,
+  STEP_GUARD,
+  STEP_LEDGER_FIND,
+  STEP_STATEMENT,
+  STEP_LEDGER_INSERT,
+  STEP_TOMBSTONE,
+  STEP_LEDGER_READ,
+  STEP_DELETE,
+  STEP_COMMIT,
+  STEP_COMMAND, /* fence, promote, follow */
+  STEP_STATUS,
+  STEP_ROLLBACK,
+  STEP_SYNC
+};
+
+enum conn_state
+{
+  CONN_OPENING,
+  CONN_IDLE,
+  CONN_BUSY,
+  CONN_CLOSED
+};
+
+struct conn
+{
+  struct pg *pg;
+  uint64_t id;
+  PGconn *db;
+  struct loop_source source;
+  enum conn_state state;
+  /* The running op.  */
+  enum up_kind kind;
+  struct wire_request *request;
+  enum step steps[STEPS_MAX];
+  uint32_t n_steps;
+  uint32_t at;
+  bool second_phase; /* the commit has been sent */
+  bool failed;       /* a step failed; what follows is the rollback */
+  struct up_result result;
+  char *detail;
+  json_t *rows;
+  int64_t n_rows;
+  int64_t n_bytes;
+  char *rows_text;
+  char *stored_rows; /* from the ledger */
+};
+
+struct pg
+{
+  struct up_port port;
+  struct pg_options options;
+  GHashTable *conns; /* id -> struct conn * */
+  GPtrArray *closed;
+};
+
+static void on_ready (void *arg, uint32_t events);
+
+static void
+clear_op (struct conn *c)
+{
+  wire_request_unref (c->request);
+  c->request = NULL;
+  g_clear_pointer (&c->detail, g_free);
+  g_clear_pointer (&c->rows_text, free);
+  g_clear_pointer (&c->stored_rows, g_free);
+  json_decref (c->rows);
+  c->rows = NULL;
+  memset (&c->result, 0, sizeof c->result);
+  c->n_steps = c->at = 0;
+  c->second_phase = c->failed = false;
+  c->n_rows = c->n_bytes = 0;
+}
+
+static void
+free_conn (gpointer data)
+{
+  struct conn *c = data;
+
+  clear_op (c);
+  g_free (c);
+}
+
+/* Drops the connection; its memory stays until pg_reap.  */
+static void
+drop_conn (struct conn *c)
+{
+  if (c->state == CONN_CLOSED)
+    return;
+  if (c->source.fn)
+    loop_remove (c->pg->options.loop, &c->source);
+  c->state = CONN_CLOSED;
+  PQfinish (c->db);
+  c->db = NULL;
+  g_hash_table_steal (c->pg->conns, &c->id);
+  g_ptr_array_add (c->pg->closed, c);
+}
+
+static void
+watch_conn (struct conn *c, uint32_t events)
+{
+  int fd = PQsocket (c->db);
+
+  if (c->source.fn && c->source.fd != fd)
+    loop_remove (c->pg->options.loop, &c->source);
+  c->source.fd = fd;
+  c->source.fn = on_ready;
+  c->source.arg = c;
+  loop_set (c->pg->options.loop, &c->source, events);
+}
+
+static void
+finish_op (struct conn *c, enum up_end end)
+{
+  struct pg *pg = c->pg;
+  struct up_result result = c->result;
+  bool gone = end == UP_LOST || end == UP_NOT_COMMITTED;
+  uint64_t id = c->id;
+
+  result.end = end;
+  result.detail = c->detail;
+  result.rows = c->stored_rows ? c->stored_rows : c->rows_text;
+  if (gone)
+    drop_conn (c);
+  else
+    c->state = CONN_IDLE;
+  pg->options.sink.done (pg->options.sink.arg, id, &result);
+  /* The sink may have started another op, but then on clean state only.  */
+}
+
+static void
+lose_op (struct conn *c)
+{
+  bool writes = c->kind == UP_RUN && c->request && !c->request->read;
+  bool in_doubt
+      = c->second_phase || c->kind == UP_COMMIT || c->kind == UP_RESOLVE;
+
+  if (c->state != CONN_BUSY)
+    {
+      struct pg *pg = c->pg;
+      uint64_t id = c->id;
+      bool opening = c->state == CONN_OPENING;
+
+      drop_conn (c);
+      if (opening)
+        pg->options.sink.opened (pg->options.sink.arg, id, false);
+      else
+        pg->options.sink.closed (pg->options.sink.arg, id);
+      return;
+    }
+  finish_op (c, writes && !in_doubt ? UP_NOT_COMMITTED : UP_LOST);
+}
+
+static void
+add_step (struct conn *c, enum step step, const char *sql, int n_args,
+          const char *const *args)
+{
+  if (step == STEP_SYNC)
+    PQpipelineSync (c->db);
+  else
+    PQsendQueryParams (c->db, sql, n_args, NULL, args, NULL, NULL, 0);
+  c->steps[c->n_steps++] = step;
+}
+
+static void
+add_plain (struct conn *c, enum step step, const char *sql)
+{
+  add_step (c, step, sql, 0, NULL);
+}
+
+static void
+flush_conn (struct conn *c)
+{
+  int left = PQflush (c->db);
+
+  watch_conn (c, left > 0 ? EPOLLIN | EPOLLOUT : EPOLLIN);
+}
+
+static void
+add_guard (struct conn *c, const struct up_op *op)
+{
+  char term[24];
+  char position[24];
+  char timeout[24];
+  const char *args[4]
+      = { term, position, op->replica ? "replica" : "primary", timeout };
+
+  g_snprintf (term, sizeof term, "%lu", op->term);
+  g_snprintf (position, sizeof position, "%lu", op->min_position);
+  g_snprintf (timeout, sizeof timeout, "%ld", op->timeout_ms);
+  add_step (c, STEP_GUARD, "SELECT * FROM cassiabay.guard($1, $2, $3, $4)", 4,
+            args);
+}
+
+static void
+add_statements (struct conn *c)
+{
+  const struct wire_request *r = c->request;
+
+  for (uint32_t i = 0; i < r->n_statements; i++)
+    add_step (c, STEP_STATEMENT, r->statements[i].text,
+              (int)r->statements[i].n_args,
+              (const char *const *)r->statements[i].args);
+}
+
+static void
+add_ledger_find (struct conn *c, enum step step)
+{
+  const char *args[1] = { c->request->request_id };
+
+  add_step (c, step,
+            "SELECT outcome, digest, result FROM " LEDGER
+            " WHERE request_id = $1",
+            1, args);
+}
+
+static void
+add_ledger_insert (struct conn *c)
+{
+  char digest[24];
+  const char *args[4] = { c->request->request_id, "done", digest,
+                          c->rows_text ? c->rows_text : "" };
+
+  g_snprintf (digest, sizeof digest, "%lu", c->request->digest);
+  add_step (c, STEP_LEDGER_INSERT,
+            "INSERT INTO " LEDGER " (request_id, outcome, digest, result)"
+            " VALUES ($1, $2, $3, $4)",
+            4, args);
+}
+
+static void
+add_commit (struct conn *c)
+{
+  add_plain (c, STEP_COMMIT, "COMMIT");
+  add_plain (c, STEP_STATUS, STATUS_SQL);
+  add_plain (c, STEP_SYNC, NULL);
+}
+
+static void
+send_run (struct conn *c, const struct up_op *op)
+{
+  const struct wire_request *r = c->request;
+
+  add_plain (c, STEP_BEGIN,
+             r->read ? "BEGIN ISOLATION LEVEL REPEATABLE READ READ ONLY"
+                     : "BEGIN");
+  add_guard (c, op);
+  if (r->ledger && !r->read)
+    add_ledger_find (c, STEP_LEDGER_FIND);
+  add_statements (c);
+  if (r->read)
+    add_plain (c, STEP_COMMIT, "COMMIT");
+  add_plain (c, STEP_SYNC, NULL);
+}
+
+static void
+send_resolve (struct conn *c, const struct up_op *op)
+{
+  const char *args[1] = { c->request->request_id };
+
+  c->second_phase = true;
+  add_plain (c, STEP_BEGIN, "BEGIN");
+  add_guard (c, op);
+  add_step (c, STEP_TOMBSTONE,
+            "INSERT INTO " LEDGER " (request_id, outcome, digest, result)"
+            " VALUES ($1, 'void', 0, '') ON CONFLICT DO NOTHING",
+            1, args);
+  add_ledger_find (c, STEP_LEDGER_READ);
+  add_commit (c);
+}
+
+static void
+send_begin (struct conn *c, const struct up_op *op)
+{
+  add_plain (c, STEP_BEGIN,
+             c->request->read
+                 ? "BEGIN ISOLATION LEVEL REPEATABLE READ READ ONLY"
+                 : "BEGIN");
+  add_guard (c, op);
+  add_plain (c, STEP_SYNC, NULL);
+}
+
+static void
+send_commit (struct conn *c)
+{
+  c->second_phase = true;
+  if (c->request->ledger && !c->request->read)
+    add_ledger_insert (c);
+  add_commit (c);
+}
+
+static void
+send_purge (struct conn *c, const struct up_op *op)
+{
+  const char *args[1] = { op->target };
+
+  add_plain (c, STEP_BEGIN, "BEGIN");
+  add_guard (c, op);
+  add_step (c, STEP_DELETE, "DELETE FROM " LEDGER " WHERE request_id < $1", 1,
+            args);
+  add_commit (c);
+}
+
+static void
+send_command (struct conn *c, const struct up_op *op)
+{
+  static const char *const sql[]
+      = { [UP_FENCE] = "SELECT * FROM cassiabay.fence($1, $2)",
+          [UP_PROMOTE] = "SELECT * FROM cassiabay.promote($1, $2)",
+          [UP_FOLLOW] = "SELECT * FROM cassiabay.follow($1, $2)" };
+  char term[24];
+  const char *args[2] = { term, op->target };
+
+  g_snprintf (term, sizeof term, "%lu", op->term);
+  add_step (c, STEP_COMMAND, sql[op->kind], 2, args);
+  add_plain (c, STEP_SYNC, NULL);
+}
+
+static void
+send_op (struct conn *c, const struct up_op *op)
+{
+  switch (op->kind)
+    {
+    case UP_STATUS:
+      add_plain (c, STEP_STATUS, STATUS_SQL);
+      add_plain (c, STEP_SYNC, NULL);
+      break;
+    case UP_FENCE:
+    case UP_PROMOTE:
+    case UP_FOLLOW:
+      send_command (c, op);
+      break;
+    case UP_RUN:
+      send_run (c, op);
+      break;
+    case UP_RESOLVE:
+      send_resolve (c, op);
+      break;
+    case UP_BEGIN:
+      send_begin (c, op);
+      break;
+    case UP_STATEMENTS:
+      add_statements (c);
+      add_plain (c, STEP_SYNC, NULL);
+      break;
+    case UP_COMMIT:
+      send_commit (c);
+      break;
+    case UP_ROLLBACK:
+      add_plain (c, STEP_ROLLBACK, "ROLLBACK");
+      add_plain (c, STEP_SYNC, NULL);
+      break;
+    case UP_PURGE:
+      send_purge (c, op);
+      break;
+    }
+}
+
+static uint64_t
+field_uint (const PGresult *res, const char *name)
+{
+  int column = PQfnumber (res, name);
+
+  return column < 0 ? 0
+                    : g_ascii_strtoull (PQgetvalue (res, 0, column), NULL, 10);
+}
+
+static bool
+read_status (const PGresult *res, struct qrm_status *out)
+{
+  int column = PQfnumber (res, "role");
+  const char *role;
+
+  if (PQntuples (res) != 1 || column < 0)
+    return false;
+  role = PQgetvalue (res, 0, column);
+  out->role = strcmp (role, "primary") == 0   ? QRM_PRIMARY
+              : strcmp (role, "replica") == 0 ? QRM_REPLICA
+                                              : QRM_FENCED;
+  out->granted_term = field_uint (res, "granted_term");
+  out->term = field_uint (res, "term");
+  out->term_start = field_uint (res, "term_start");
+  out->last_term = field_uint (res, "last_term");
+  out->position = field_uint (res, "position");
+  out->source_silent_ms = (int64_t)field_uint (res, "source_silent_ms");
+  return true;
+}
+
+static json_t *
+value_of (struct conn *c, const PGresult *res, int row, int column)
+{
+  const char *text = PQgetvalue (res, row, column);
+  size_t len = (size_t)PQgetlength (res, row, column);
+  json_t *value;
+  char *valid;
+
+  if (PQgetisnull (res, row, column))
+    return json_null ();
+  c->n_bytes += (int64_t)len;
+  value = json_stringn (text, len);
+  if (value)
+    return value;
+  valid = g_utf8_make_valid (text, (gssize)len);
+  value = json_string (valid);
+  g_free (valid);
+  return value;
+}
+
+/* Adds a statement's result; false when the answer outgrows its limit.  */
+static bool
+add_rows (struct conn *c, const PGresult *res)
+{
+  json_t *columns = json_array ();
+  json_t *rows = json_array ();
+  const struct pg_options *o = &c->pg->options;
+  bool fits = true;
+
+  c->n_rows += PQntuples (res);
+  for (int k = 0; k < PQnfields (res); k++)
+    json_array_append_new (columns, json_string (PQfname (res, k)));
+  for (int i = 0; i < PQntuples (res) && fits; i++)
+    {
+      json_t *row = json_array ();
+
+      for (int k = 0; k < PQnfields (res); k++)
+        json_array_append_new (row, value_of (c, res, i, k));
+      json_array_append_new (rows, row);
+      fits = c->n_rows <= o->rows_max && c->n_bytes <= o->bytes_max;
+    }
+  if (!c->rows)
+    c->rows = json_array ();
+  json_array_append_new (
+      c->rows, json_pack ("{s:o, s:o, s:I}", "columns", columns, "rows", rows,
+                          "affected",
+                          (json_int_t)g_ascii_strtoll (
+                              PQcmdTuples ((PGresult *)res), NULL, 10)));
+  return fits;
+}
+
+static void
+read_ledger (struct conn *c, const PGresult *res)
+{
+  if (PQntuples (res) == 0)
+    return;
+  c->result.ledger = strcmp (PQgetvalue (res, 0, 0), "done") == 0
+                         ? UP_LEDGER_DONE
+                         : UP_LEDGER_VOID;
+  c->result.ledger_digest
+      = g_ascii_strtoull (PQgetvalue (res, 0, 1), NULL, 10);
+  g_free (c->stored_rows);
+  c->stored_rows = g_strdup (PQgetvalue (res, 0, 2));
+}
+
+static void
+fail_op (struct conn *c, enum up_end end, const char *detail)
+{
+  if (c->failed)
+    return;
+  c->failed = true;
+  c->result.end = end;
+  g_clear_pointer (&c->stored_rows, g_free);
+  c->detail = g_strdup (detail);
+}
+
+static enum up_end
+end_of_error (const struct conn *c, enum step step, const char *state)
+{
+  bool unique = strcmp (state, "23505") == 0;
+
+  if (g_str_has_prefix (state, "CB"))
+    return UP_REJECTED;
+  if (strcmp (state, "25006") == 0)
+    return UP_READ_ONLY;
+  if (unique && c->request && c->request->ledger
+      && (step == STEP_LEDGER_INSERT || step == STEP_COMMIT))
+    return UP_DUPLICATE;
+  return UP_SQL_ERROR;
+}
+
+static void
+on_success (struct conn *c, enum step step, const PGresult *res)
+{
+  struct qrm_status status = { 0 };
+
+  switch (step)
+    {
+    case STEP_GUARD:
+    case STEP_COMMAND:
+      c->result.has_status = read_status (res, &c->result.status);
+      break;
+    case STEP_STATUS:
+      if (!read_status (res, &status))
+        break;
+      /* After a commit the position counts only under the guarded term.  */
+      if (c->second_phase && c->result.has_status
+          && status.term != c->result.status.term)
+        fail_op (c, UP_LOST, "the term changed right after the commit");
+      c->result.has_status = true;
+      c->result.status = status;
+      break;
+    case STEP_STATEMENT:
+      if (!c->failed && !add_rows (c, res))
+        fail_op (c, UP_TOO_LARGE, "the answer is larger than the limit");
+      break;
+    case STEP_LEDGER_FIND:
+      read_ledger (c, res);
+      if (c->result.ledger != UP_LEDGER_NONE)
+        fail_op (c, UP_DUPLICATE, NULL);
+      break;
+    case STEP_LEDGER_READ:
+      read_ledger (c, res);
+      break;
+    case STEP_COMMIT:
+      /* A failed transaction answers COMMIT with ROLLBACK.  */
+      if (strcmp (PQcmdStatus ((PGresult *)res), "COMMIT") != 0)
+        fail_op (c, UP_SQL_ERROR, "the transaction was rolled back");
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_result (struct conn *c, enum step step, const PGresult *res)
+{
+  const char *state;
+
+  switch (PQresultStatus (res))
+    {
+    case PGRES_TUPLES_OK:
+    case PGRES_COMMAND_OK:
+    case PGRES_EMPTY_QUERY:
+      on_success (c, step, res);
+      break;
+    case PGRES_PIPELINE_ABORTED:
+      break;
+    default:
+      state = PQresultErrorField (res, PG_DIAG_SQLSTATE);
+      fail_op (c, end_of_error (c, step, state ? state : ""),
+               PQresultErrorField (res, PG_DIAG_MESSAGE_PRIMARY));
+      break;
+    }
+}
+
+static void
+dump_rows (struct conn *c)
+{
+  if (c->rows && !c->rows_text)
+    c->rows_text = json_dumps (c->rows, JSON_COMPACT);
+}
+
+/* A sync point is reached: the op is over, or goes on.  */
+static void
+on_sync (struct conn *c)
+{
+  bool open_transaction = PQtransactionStatus (c->db) != PQTRANS_IDLE;
+  bool write_run = c->kind == UP_RUN && !c->request->read;
+
+  if (c->failed && c->result.end == UP_LOST)
+    {
+      finish_op (c, UP_LOST);
+      return;
+    }
+  if (c->failed && open_transaction)
+    {
+      add_plain (c, STEP_ROLLBACK, "ROLLBACK");
+      add_plain (c, STEP_SYNC, NULL);
+      flush_conn (c);
+      return;
+    }
+  dump_rows (c);
+  if (!c->failed && write_run && !c->second_phase)
+    {
+      send_commit (c);
+      flush_conn (c);
+      return;
+    }
+  finish_op (c, c->failed ? c->result.end : UP_OK);
+}
+
+/* Takes the results that have come; false when the connection failed.  */
+static bool
+read_results (struct conn *c)
+{
+  while (c->state == CONN_BUSY && c->at < c->n_steps && !PQisBusy (c->db))
+    {
+      PGresult *res = PQgetResult (c->db);
+
+      if (!res)
+        {
+          /* The end of one command's results.  */
+          if (PQstatus (c->db) == CONNECTION_BAD)
+            return false;
+          continue;
+        }
+      if (PQresultStatus (res) == PGRES_PIPELINE_SYNC)
+        {
+          PQclear (res);
+          c->at++;
+          on_sync (c);
+          continue;
+        }
+      if (PQstatus (c->db) == CONNECTION_BAD)
+        {
+          PQclear (res);
+          return false;
+        }
+      on_result (c, c->steps[c->at++], res);
+      PQclear (res);
+    }
+  return true;
+}
+
+static void
+poll_opening (struct conn *c)
+{
+  struct pg *pg = c->pg;
+
+  switch (PQconnectPoll (c->db))
+    {
+    case PGRES_POLLING_READING:
+      watch_conn (c, EPOLLIN);
+      break;
+    case PGRES_POLLING_WRITING:
+      watch_conn (c, EPOLLOUT);
+      break;
+    case PGRES_POLLING_OK:
+      PQsetnonblocking (c->db, 1);
+      PQenterPipelineMode (c->db);
+      c->state = CONN_IDLE;
+      watch_conn (c, EPOLLIN);
+      pg->options.sink.opened (pg->options.sink.arg, c->id, true);
+      break;
+    default:
+      g_debug ("upstream connection failed: %s", PQerrorMessage (c->db));
+      lose_op (c);
+      break;
+    }
+}
+
+static void
+on_ready (void *arg, uint32_t events)
+{
+  struct conn *c = arg;
+
+  if (c->state == CONN_CLOSED)
+    return;
+  if (c->state == CONN_OPENING)
+    {
+      poll_opening (c);
+      return;
+    }
+  if ((events & EPOLLOUT) != 0)
+    flush_conn (c);
+  if (!PQconsumeInput (c->db) || (c->state == CONN_BUSY && !read_results (c)))
+    lose_op (c);
+  else if (c->state == CONN_IDLE && PQstatus (c->db) == CONNECTION_BAD)
+    lose_op (c);
+}
+
+static void
+port_open (struct up_port *port, uint64_t id,
+           const struct dcl_instance *instance)
+{
+  struct pg *pg = (struct pg *)port;
+  struct conn *c = g_new0 (struct conn, 1);
+  char text[8];
+  const char *keys[] = { "hostaddr",
+                         "port",
+                         "user",
+                         "dbname",
+                         "password",
+                         "sslmode",
+                         "application_name",
+                         "client_encoding",
+                         "gssencmode",
+                         "tcp_user_timeout",
+                         NULL };
+  const char *values[] = { instance->host,
+                           text,
+                           pg->options.user,
+                           pg->options.database,
+                           pg->options.password,
+                           pg->options.sslmode,
+                           pg->options.application,
+                           "UTF8",
+                           "disable",
+                           "5000",
+                           NULL };
+
+  g_snprintf (text, sizeof text, "%u", instance->port);
+  c->pg = pg;
+  c->id = id;
+  c->state = CONN_OPENING;
+  c->db = PQconnectStartParams (keys, values, 0);
+  g_hash_table_insert (pg->conns, &c->id, c);
+  if (PQstatus (c->db) == CONNECTION_BAD || PQsocket (c->db) < 0)
+    {
+      /* Reported from the loop, not from inside the caller's call.  */
+      c->source.fn = NULL;
+      return;
+    }
+  watch_conn (c, EPOLLOUT);
+}
+
+static void
+port_close (struct up_port *port, uint64_t id)
+{
+  struct pg *pg = (struct pg *)port;
+  struct conn *c = g_hash_table_lookup (pg->conns, &id);
+
+  if (c)
+    drop_conn (c);
+}
+
+static void
+port_exec (struct up_port *port, uint64_t id, const struct up_op *op)
+{
+  struct pg *pg = (struct pg *)port;
+  struct conn *c = g_hash_table_lookup (pg->conns, &id);
+
+  if (!c || c->state != CONN_IDLE)
+    return;
+  clear_op (c);
+  c->state = CONN_BUSY;
+  c->kind = op->kind;
+  c->request = op->request
+                   ? wire_request_ref ((struct wire_request *)op->request)
+                   : NULL;
+  send_op (c, op);
+  flush_conn (c);
+}
+
+static const struct up_port_ops port_ops
+    = { port_open, port_close, port_exec };
+
+struct pg *
+pg_new (const struct pg_options *options)
+{
+  struct pg *pg = g_new0 (struct pg, 1);
+
+  pg->port.ops = &port_ops;
+  pg->options = *options;
+  pg->conns
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_conn);
+  pg->closed = g_ptr_array_new_with_free_func (free_conn);
+  return pg;
+}
+
+void
+pg_reap (struct pg *pg)
+{
+  if (pg->closed->len > 0)
+    g_ptr_array_set_size (pg->closed, 0);
+}
+
+void
+pg_free (struct pg *pg)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!pg)
+    return;
+  g_hash_table_iter_init (&iter, pg->conns);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct conn *c = value;
+
+      if (c->source.fn)
+        loop_remove (pg->options.loop, &c->source);
+      PQfinish (c->db);
+    }
+  g_hash_table_destroy (pg->conns);
+  g_ptr_array_free (pg->closed, TRUE);
+  g_free (pg);
+}
+
+struct up_port *
+pg_port (struct pg *pg)
+{
+  return &pg->port;
+}
--- /dev/null
+++ b/packages/adapters/rcu.h
@@ -0,0 +1,67 @@
+/* The one wrapper around liburcu (bulletproof flavour: reader threads need no
+   registration, since CivetWeb makes them).  ThreadSanitizer does not see
+   liburcu's grace periods, so it is told of them here.  */
+#ifndef CB_RCU_H
+#define CB_RCU_H
+
+#include <stdatomic.h>
+#include <urcu-bp.h>
+
+#if defined(__SANITIZE_THREAD__)
+#define RCU_TSAN 1
+#elif defined(__has_feature)
+#if __has_feature(thread_sanitizer)
+#define RCU_TSAN 1
+#endif
+#endif
+
+#ifdef RCU_TSAN
+void __tsan_acquire (void *addr);
+void __tsan_release (void *addr);
+#else
+#define __tsan_acquire(addr) (void)(addr)
+#define __tsan_release(addr) (void)(addr)
+#endif
+
+/* A published pointer.  */
+struct rcu_cell
+{
+  _Atomic (void *) value;
+};
+
+/* Read side: a pointer got by rcu_cell_get stays valid until rcu_cell_leave.
+ */
+static inline void
+rcu_cell_enter (struct rcu_cell *cell)
+{
+  (void)cell;
+  urcu_bp_read_lock ();
+}
+
+static inline void *
+rcu_cell_get (struct rcu_cell *cell)
+{
+  return atomic_load_explicit (&cell->value, memory_order_acquire);
+}
+
+static inline void
+rcu_cell_leave (struct rcu_cell *cell)
+{
+  __tsan_release (cell);
+  urcu_bp_read_unlock ();
+}
+
+/* Publishes NEXT and waits until no reader uses the old value, which is
+   returned for freeing.  One writer at a time.  */
+static inline void *
+rcu_cell_replace (struct rcu_cell *cell, void *next)
+{
+  void *old
+      = atomic_exchange_explicit (&cell->value, next, memory_order_acq_rel);
+
+  urcu_bp_synchronize_rcu ();
+  __tsan_acquire (cell);
+  return old;
+}
+
+#endif
--- /dev/null
+++ b/packages/core/admit.c
@@ -0,0 +1,177 @@
+/* Admission to one instance.  */
+#include "admit.h"
+
+#include <string.h>
+
+/* Service time assumed of a kind before its first measurement.  */
+#define SERVICE_INITIAL_US 1000
+/* Weight of one measurement in the moving average: 1/8.  */
+#define SERVICE_SHIFT 3
+
+void
+adm_init (struct adm *a, const struct adm_options *options)
+{
+  memset (a, 0, sizeof *a);
+  a->options = *options;
+}
+
+static const struct adm_kind *
+find_kind (const struct adm *a, const char *name)
+{
+  for (uint32_t i = 0; i < a->n_kinds; i++)
+    if (strcmp (a->kinds[i].name, name) == 0)
+      return &a->kinds[i];
+  return NULL;
+}
+
+/* Kinds beyond the table share its last place.  */
+static uint32_t
+claim_kind (struct adm *a, const char *name)
+{
+  const struct adm_kind *known = find_kind (a, name);
+  struct adm_kind *k;
+
+  if (known)
+    return (uint32_t)(known - a->kinds);
+  if (a->n_kinds == ADM_KINDS_MAX)
+    return ADM_KINDS_MAX - 1;
+  k = &a->kinds[a->n_kinds];
+  g_strlcpy (k->name, name, sizeof k->name);
+  k->service_us = SERVICE_INITIAL_US;
+  return a->n_kinds++;
+}
+
+static int64_t
+queued_work_us (const struct adm *a)
+{
+  int64_t work = 0;
+
+  for (uint32_t i = 0; i < a->n_kinds; i++)
+    work += a->kinds[i].n * a->kinds[i].service_us;
+  return work;
+}
+
+static int32_t
+active_kinds (const struct adm *a)
+{
+  int32_t n = 0;
+
+  for (uint32_t i = 0; i < a->n_kinds; i++)
+    n += a->kinds[i].n > 0;
+  return n;
+}
+
+int64_t
+adm_estimate_us (const struct adm *a, const char *kind)
+{
+  const struct adm_kind *k = find_kind (a, kind);
+  int64_t service = k ? k->service_us : SERVICE_INITIAL_US;
+  int32_t ahead = k ? k->n : 0;
+  int64_t fair;
+  int64_t all;
+
+  if (a->running < a->options.slots && a->queued == 0)
+    return service;
+  /* A kind waits for its own share at worst, and never for more than the
+     whole queue.  */
+  fair = (int64_t)(ahead + 1) * service * MAX (1, active_kinds (a));
+  all = queued_work_us (a) + service;
+  return MIN (fair, all) / a->options.slots + service;
+}
+
+/* A newly active kind starts level with the others: time it left unused
+   earlier does not entitle it to a burst.  */
+static void
+level_with_active (struct adm *a, struct adm_kind *kind)
+{
+  int64_t least = INT64_MAX;
+
+  for (uint32_t i = 0; i < a->n_kinds; i++)
+    if (a->kinds[i].n > 0)
+      least = MIN (least, a->kinds[i].served_us);
+  if (least != INT64_MAX)
+    kind->served_us = MAX (kind->served_us, least);
+}
+
+enum rsn
+adm_push (struct adm *a, struct adm_item *item, const char *kind,
+          int64_t now_us)
+{
+  struct adm_item **at;
+  struct adm_kind *k;
+  int32_t kind_max = MAX (1, a->options.queue_max / 2);
+
+  if (!a->options.unlimited)
+    {
+      if (a->queued >= a->options.queue_max)
+        return RSN_QUEUE_FULL;
+      if (now_us + adm_estimate_us (a, kind) > item->deadline_us)
+        return RSN_DEADLINE_UNMEETABLE;
+    }
+  item->kind = claim_kind (a, kind);
+  k = &a->kinds[item->kind];
+  if (!a->options.unlimited && k->n >= kind_max)
+    return RSN_KIND_QUEUE_FULL;
+  if (k->n == 0)
+    level_with_active (a, k);
+  for (at = &k->head; *at && (*at)->deadline_us <= item->deadline_us;
+       at = &(*at)->next)
+    ;
+  item->next = *at;
+  *at = item;
+  k->n++;
+  a->queued++;
+  return RSN_OK;
+}
+
+struct adm_item *
+adm_pop (struct adm *a)
+{
+  struct adm_kind *best = NULL;
+  struct adm_item *item;
+
+  if (a->running >= a->options.slots && !a->options.unlimited)
+    return NULL;
+  for (uint32_t i = 0; i < a->n_kinds; i++)
+    if (a->kinds[i].n > 0
+        && (!best || a->kinds[i].served_us < best->served_us))
+      best = &a->kinds[i];
+  if (!best)
+    return NULL;
+  item = best->head;
+  best->head = item->next;
+  item->next = NULL;
+  best->n--;
+  /* Charged now by the average so that one pop changes the order.  */
+  best->served_us += best->service_us;
+  a->queued--;
+  a->running++;
+  return item;
+}
+
+bool
+adm_remove (struct adm *a, struct adm_item *item)
+{
+  struct adm_kind *k = &a->kinds[item->kind];
+
+  for (struct adm_item **at = &k->head; *at; at = &(*at)->next)
+    if (*at == item)
+      {
+        *at = item->next;
+        item->next = NULL;
+        k->n--;
+        a->queued--;
+        return true;
+      }
+  return false;
+}
+
+void
+adm_finish (struct adm *a, const struct adm_item *item, int64_t service_us)
+{
+  struct adm_kind *k = &a->kinds[item->kind];
+
+  a->running--;
+  k->service_us += (service_us - k->service_us) / (1 << SERVICE_SHIFT);
+  k->service_us = MAX (k->service_us, 1);
+}
--- /dev/null
+++ b/packages/core/admit.h
@@ -0,0 +1,59 @@
+/* Admission to one instance: a bounded queue before its slots.  Kinds share
+   the slots fairly by the time they use; within a kind the earliest deadline
+   goes first.  */
+#ifndef CB_ADMIT_H
+#define CB_ADMIT_H
+
+#include "decl.h"
+#include "reason.h"
+
+#define ADM_KINDS_MAX 16
+
+/* Embedded in the queued object, which the queue does not own.  */
+struct adm_item
+{
+  struct adm_item *next;
+  int64_t deadline_us;
+  uint32_t kind; /* set by adm_push */
+};
+
+struct adm_kind
+{
+  char name[DCL_NAME_MAX + 1];
+  struct adm_item *head; /* by deadline */
+  int32_t n;
+  int64_t served_us;  /* slot time used; the kind with the least goes next */
+  int64_t service_us; /* moving average of one request */
+};
+
+struct adm_options
+{
+  int32_t slots;
+  int32_t queue_max; /* requests waiting, all kinds */
+  bool unlimited;    /* no refusal and no slots: for measurement only */
+};
+
+struct adm
+{
+  struct adm_options options;
+  int32_t running;
+  int32_t queued;
+  uint32_t n_kinds;
+  struct adm_kind kinds[ADM_KINDS_MAX];
+};
+
+void adm_init (struct adm *a, const struct adm_options *options);
+/* Queues ITEM, whose deadline is set.  RSN_OK, or why it is refused.  */
+enum rsn adm_push (struct adm *a, struct adm_item *item, const char *kind,
+                   int64_t now_us);
+/* The next item to run, NULL when no slot is free or none waits.  */
+struct adm_item *adm_pop (struct adm *a);
+/* Takes ITEM out of the queue; false when it does not wait.  */
+bool adm_remove (struct adm *a, struct adm_item *item);
+/* Ends the run of a popped ITEM that held its slot for SERVICE_US.  */
+void adm_finish (struct adm *a, const struct adm_item *item,
+                 int64_t service_us);
+/* Expected wait and service of one more request of KIND, in microseconds.  */
+int64_t adm_estimate_us (const struct adm *a, const char *kind);
+
+#endif
--- /dev/null
+++ b/packages/core/entry.h
@@ -0,0 +1,88 @@
+/* The entry proxy's side: takes a caller's request, sends attempts to home
+   proxies and answers once, with an outcome that holds.
+
+   One thread; time is an argument.  */
+#ifndef CB_ENTRY_H
+#define CB_ENTRY_H
+
+#include "requestid.h"
+#include "route.h"
+#include "token.h"
+
+/* A caller's request as parsed; borrowed during ent_submit.  */
+struct ent_call
+{
+  enum wire_op op;
+  const char *database;
+  const char *kind;
+  const char *request_id; /* "" when none */
+  const char *transaction;
+  int64_t deadline_ms; /* 0: the kind's own */
+  struct tok token;
+  uint32_t n_statements;
+  const struct wire_statement *statements;
+  void *tag; /* given back with the answer */
+};
+
+struct ent_answer
+{
+  enum rsn reason;
+  const char *rows;        /* JSON array, "" when none */
+  const char *detail;      /* "" when none */
+  const char *transaction; /* of a conversation just opened, else "" */
+  const char *database;
+  uint64_t term; /* new floor in DATABASE, 0 = unchanged */
+  uint64_t position;
+  bool from_replica;
+};
+
+typedef void ent_answer_fn (void *arg, void *tag,
+                            const struct ent_answer *answer);
+/* Sends REQUEST to VM, which may be this one.  */
+typedef void ent_send_fn (void *arg, const char *vm,
+                          struct wire_request *request);
+/* The home of an instance, by preference; NULL when no VM is known.  */
+typedef const char *ent_home_fn (void *arg,
+                                 const struct dcl_database *database,
+                                 uint32_t instance, uint32_t preference);
+typedef bool ent_alive_fn (void *arg, const char *vm);
+
+struct ent_options
+{
+  ent_answer_fn *answer;
+  ent_send_fn *send;
+  ent_home_fn *home;
+  ent_alive_fn *alive;
+  void *arg;        /* of send, home and alive */
+  void *answer_arg; /* of answer */
+  struct ctr_set *counters;
+  const char *data_centre;
+  const char *region;
+  uint32_t jobs_max; /* requests in flight */
+  enum rte_policy policy;
+  bool unlimited_retries; /* for measurement only */
+  bool unsafe_not_run;    /* test only: a lost answer is called not run */
+};
+
+struct entry;
+
+struct entry *ent_new (const struct ent_options *options);
+void ent_free (struct entry *e);
+/* Takes the declarations in force; they must live until the next call.  */
+void ent_set_databases (struct entry *e, const struct dcl_set *set);
+/* Answers exactly once, perhaps before it returns.  WALL_MS is used for the
+   age of request ids alone.  */
+void ent_submit (struct entry *e, const struct ent_call *call, int64_t now_us,
+                 int64_t wall_ms);
+void ent_reply (struct entry *e, const struct wire_reply *reply,
+                int64_t now_us);
+/* The link to VM broke: what was in flight on it is lost.  */
+void ent_peer_lost (struct entry *e, const char *vm, int64_t now_us);
+void ent_tick (struct entry *e, int64_t now_us);
+/* Refuses new work from now on.  */
+void ent_drain (struct entry *e);
+/* Answers everything in flight now, as at its deadline.  */
+void ent_abort (struct entry *e, int64_t now_us);
+uint32_t ent_busy (const struct entry *e);
+
+#endif
--- /dev/null
+++ b/packages/core/homeop.c
@@ -0,0 +1,467 @@
+/* The life of one request at its home: queue, run, confirm, reply.  */
+#include "homeint.h"
+
+#include "units.h"
+#include <string.h>
+
+/* A replica that does not reach the caller's floor, or prove its age, within
+   this time is passed over for the primary.  */
+#define REPLICA_PROOF_US (60 * MS_US)
+/* Status answers older than this say nothing about a replica's lag now.  */
+#define LAG_KNOWN_US (1200 * MS_US)
+
+struct home_op *
+hop_new (struct home_group *g, uint32_t instance, const char *from,
+         struct wire_request *request, int64_t now_us)
+{
+  struct home_op *op = g_new0 (struct home_op, 1);
+
+  op->group = g;
+  op->instance = instance;
+  op->from = g_strdup (from);
+  op->request = request ? wire_request_ref (request) : NULL;
+  op->arrived_us = now_us;
+  op->deadline_us
+      = request ? now_us + request->deadline_ms * MS_US : INT64_MAX / 2;
+  op->item.deadline_us = op->deadline_us;
+  cds_list_add_tail (&op->link, &g->ops);
+  return op;
+}
+
+static void
+send_reply (struct home *h, const char *from, struct wire_reply *reply,
+            const char *database, int64_t now_us)
+{
+  home_view (h, database, &reply->view, now_us);
+  h->options.reply (h->options.arg, from, reply);
+}
+
+void
+hop_refuse (struct home *h, const char *from,
+            const struct wire_request *request, enum rsn reason,
+            int64_t now_us)
+{
+  struct wire_reply reply = { 0 };
+
+  reply.id = request->id;
+  reply.reason = reason;
+  send_reply (h, from, &reply, request->database, now_us);
+}
+
+/* Gives back the slot of a running op.  */
+static void
+release_slot (struct home *h, struct home_op *op, int64_t now_us)
+{
+  struct adm *a = &op->group->instances[op->instance].adm;
+
+  g_hash_table_remove (h->running, &op->conn);
+  if (op->forced)
+    a->running--;
+  else
+    adm_finish (a, &op->item, now_us - op->started_us);
+}
+
+static void
+free_op (struct home_op *op)
+{
+  cds_list_del (&op->link);
+  wire_request_unref (op->request);
+  g_free (op->rows);
+  g_free (op->from);
+  g_free (op);
+}
+
+void
+hop_finish (struct home *h, struct home_op *op, enum rsn reason,
+            const char *detail, int64_t now_us)
+{
+  struct wire_reply reply = { 0 };
+  char *database;
+  char *from;
+
+  if (!op->request)
+    {
+      free_op (op);
+      return;
+    }
+  if (op->state == OP_QUEUED)
+    adm_remove (&op->group->instances[op->instance].adm, &op->item);
+  reply.id = op->request->id;
+  reply.reason = reason;
+  reply.from_primary = op->primary;
+  reply.detail = (char *)detail;
+  if (reason == RSN_OK || reason == RSN_REQUEST_ID_REUSED)
+    {
+      reply.term = op->term;
+      reply.position = op->position;
+      reply.rows = op->rows;
+    }
+  if (op->transaction)
+    reply.transaction = op->transaction->id;
+  /* The reply may lead to a new request: OP must be gone by then.  */
+  database = g_strdup (op->request->database);
+  from = g_strdup (op->from);
+  op->rows = NULL;
+  free_op (op);
+  send_reply (h, from, &reply, database, now_us);
+  g_free (reply.rows);
+  g_free (database);
+  g_free (from);
+}
+
+static bool
+is_write (const struct wire_request *r)
+{
+  return !r->read;
+}
+
+enum rsn
+hop_precheck (const struct home *h, const struct home_op *op, int64_t now_us)
+{
+  const struct mon *m = &op->group->mon;
+  const struct qrm *q = &m->q;
+  const struct wire_request *r = op->request;
+  const struct qrm_seen *seen = &q->seen[op->instance];
+  int64_t age_us;
+
+  if (r->deadline_ms <= 0)
+    return RSN_DEADLINE_PASSED;
+  if (r->read && !r->fresh && op->instance != q->primary)
+    {
+      age_us = qrm_age_us (q, seen->status.term, seen->status.position,
+                           seen->heard_us);
+      if (!h->options.unsafe.no_age_proof && seen->known
+          && now_us - seen->heard_us < LAG_KNOWN_US
+          && age_us > r->max_age_ms * MS_US)
+        return RSN_REPLICA_STALE;
+      return RSN_OK;
+    }
+  if (fo_judge (&m->fo, q, 0, now_us) == FO_NO_MAJORITY)
+    return RSN_NO_MAJORITY;
+  if (q->primary == QRM_NONE
+      || qrm_highest_term (q) > q->seen[q->primary].status.granted_term)
+    return RSN_NO_PRIMARY;
+  if (q->primary != op->instance)
+    return RSN_NOT_PRIMARY;
+  if (q->led_since_us < now_us - FO_DETECT_MS * MS_US)
+    return RSN_NO_PRIMARY;
+  if (is_write (r) && r->op != WIRE_RESOLVE
+      && h->options.rule == &qrm_rule_majority
+      && qrm_confirm_lag_us (q, now_us) > r->deadline_ms * MS_US)
+    return RSN_CONFIRM_TOO_SLOW;
+  return RSN_OK;
+}
+
+void
+hop_exec (struct home *h, struct home_op *op, enum up_kind kind,
+          int64_t now_us)
+{
+  const struct qrm *q = &op->group->mon.q;
+  struct up_op up = { 0 };
+
+  op->state = OP_RUNNING;
+  op->started_us = now_us;
+  op->primary = op->instance == q->primary;
+  up.kind = kind;
+  up.request = op->request;
+  up.replica = op->request->read && !op->request->fresh && !op->primary;
+  up.term = op->transaction ? op->transaction->term
+            : up.replica    ? op->request->min_term
+                            : q->term;
+  up.min_position = up.replica ? op->request->min_position : 0;
+  if (h->options.unsafe.no_token_check && up.replica)
+    up.term = up.min_position = 0;
+  up.timeout_ms = MAX (1, (op->deadline_us - now_us) / MS_US);
+  g_hash_table_insert (h->running, g_memdup2 (&op->conn, sizeof op->conn), op);
+  h->options.up->ops->exec (h->options.up, op->conn, &up);
+}
+
+static enum up_kind
+kind_of (const struct wire_request *r)
+{
+  switch (r->op)
+    {
+    case WIRE_RESOLVE:
+      return UP_RESOLVE;
+    case WIRE_BEGIN:
+      return UP_BEGIN;
+    case WIRE_STATEMENT:
+      return UP_STATEMENTS;
+    case WIRE_COMMIT:
+      return UP_COMMIT;
+    case WIRE_ROLLBACK:
+      return UP_ROLLBACK;
+    case WIRE_RUN:
+    case WIRE_OP_END:
+      break;
+    }
+  return UP_RUN;
+}
+
+void
+hop_start_queued (struct home *h, struct home_group *g, uint32_t instance,
+                  int64_t now_us)
+{
+  struct home_instance *inst = &g->instances[instance];
+  struct adm_item *item;
+  struct home_op *op;
+  enum rsn reason;
+
+  while (pool_count (&inst->pool, POOL_IDLE) > 0
+         && (item = adm_pop (&inst->adm)) != NULL)
+    {
+      op = caa_container_of (item, struct home_op, item);
+      op->state = OP_CONFIRMING;
+      /* The group may have changed while the request waited.  */
+      reason = op->deadline_us <= now_us ? RSN_DEADLINE_PASSED
+                                         : hop_precheck (h, op, now_us);
+      if (reason != RSN_OK)
+        {
+          inst->adm.running--;
+          hop_finish (h, op, reason, NULL, now_us);
+          continue;
+        }
+      op->conn = pool_take (&inst->pool, now_us);
+      hop_exec (h, op, kind_of (op->request), now_us);
+    }
+}
+
+/* The answer to a request whose id the ledger has settled.  */
+static enum rsn
+ledger_reason (const struct home_op *op, const struct up_result *result)
+{
+  if (result->ledger != UP_LEDGER_DONE)
+    return RSN_REQUEST_VOIDED;
+  return result->ledger_digest == op->request->digest ? RSN_OK
+                                                      : RSN_REQUEST_ID_REUSED;
+}
+
+/* Gives the answer when its proof is there; true when OP has ended.  */
+static bool
+confirm (struct home *h, struct home_op *op, int64_t now_us)
+{
+  const struct qrm *q = &op->group->mon.q;
+  const struct wire_request *r = op->request;
+  const struct qrm_rule *rule = h->options.rule;
+  int64_t age_us;
+
+  if (r->read && !op->primary)
+    {
+      age_us = qrm_age_us (q, op->term, op->position, now_us);
+      if (h->options.unsafe.no_age_proof || age_us <= r->max_age_ms * MS_US)
+        {
+          hop_finish (h, op, RSN_OK, NULL, now_us);
+          return true;
+        }
+      if (now_us - op->started_us < REPLICA_PROOF_US)
+        return false;
+      hop_finish (h, op, RSN_REPLICA_STALE, NULL, now_us);
+      return true;
+    }
+  if (r->read
+          ? rule->read_confirmed (q, op->arrived_us, op->term, op->position)
+          : rule->write_confirmed (q, op->term, op->position))
+    {
+      hop_finish (h, op, op->reason, NULL, now_us);
+      return true;
+    }
+  /* A later term: this one can prove nothing any more.  */
+  if (qrm_highest_term (q) > op->term && q->term > op->term)
+    {
+      hop_finish (h, op, r->read ? RSN_NOT_PRIMARY : RSN_ANSWER_LOST, NULL,
+                  now_us);
+      return true;
+    }
+  return false;
+}
+
+void
+hop_check_confirmed (struct home *h, struct home_group *g, int64_t now_us)
+{
+  struct home_op *op;
+  struct home_op *tmp;
+  bool waiting = false;
+
+  cds_list_for_each_entry_safe (op, tmp, &g->ops, link)
+    {
+      if (op->state == OP_CONFIRMING && !confirm (h, op, now_us))
+        waiting = true;
+    }
+  if (!waiting)
+    mon_rest (&g->mon);
+}
+
+/* An op whose result must be proved first.  */
+static void
+start_confirming (struct home *h, struct home_op *op,
+                  const struct up_result *result, int64_t now_us)
+{
+  op->state = OP_CONFIRMING;
+  op->term = result->status.term;
+  op->position = result->status.position;
+  op->rows = g_strdup (result->rows);
+  op->reason = RSN_OK;
+  if (op->request->op == WIRE_RESOLVE)
+    op->reason = ledger_reason (op, result);
+  if (!confirm (h, op, now_us))
+    mon_demand (&op->group->mon, now_us);
+}
+
+static enum rsn
+reason_of (const struct home_op *op, enum up_end end)
+{
+  bool read = op->request->read;
+
+  switch (end)
+    {
+    case UP_OK:
+      return RSN_OK;
+    case UP_REJECTED:
+      return op->primary || !read || op->request->fresh
+                 ? RSN_NOT_PRIMARY
+                 : RSN_REPLICA_BEHIND_TOKEN;
+    case UP_SQL_ERROR:
+      return RSN_SQL_ERROR;
+    case UP_READ_ONLY:
+      return RSN_READ_KIND_WROTE;
+    case UP_TOO_LARGE:
+      return RSN_ANSWER_TOO_LARGE;
+    case UP_DUPLICATE:
+      return RSN_ANSWER_LOST;
+    case UP_NOT_COMMITTED:
+      return RSN_NO_CONNECTION;
+    case UP_LOST:
+      break;
+    }
+  return read ? RSN_NO_CONNECTION : RSN_ANSWER_LOST;
+}
+
+static bool
+is_connection_gone (enum up_end end)
+{
+  return end == UP_LOST || end == UP_NOT_COMMITTED;
+}
+
+/* A statement inside a conversation ended, or the conversation with it.  */
+static void
+done_in_transaction (struct home *h, struct home_op *op,
+                     const struct up_result *result, int64_t now_us)
+{
+  struct home_transaction *t = op->transaction;
+  enum wire_op kind = op->request->op;
+  bool ends = kind != WIRE_STATEMENT || result->end != UP_OK;
+
+  t->state = TXN_IDLE;
+  t->used_us = now_us;
+  if (!ends)
+    {
+      op->rows = g_strdup (result->rows);
+      hop_finish (h, op, RSN_OK, NULL, now_us);
+      return;
+    }
+  op->transaction = NULL;
+  htx_end (h, t, !is_connection_gone (result->end), now_us);
+  if (result->end == UP_OK && kind == WIRE_COMMIT)
+    start_confirming (h, op, result, now_us);
+  else if (kind == WIRE_STATEMENT && is_connection_gone (result->end))
+    hop_finish (h, op, RSN_ROLLED_BACK, NULL, now_us);
+  else
+    hop_finish (h, op,
+                kind == WIRE_ROLLBACK ? RSN_OK : reason_of (op, result->end),
+                result->detail, now_us);
+}
+
+static void
+done_alone (struct home *h, struct home_op *op, const struct up_result *result,
+            int64_t now_us)
+{
+  struct pool *pool = &op->group->instances[op->instance].pool;
+
+  if (op->request && op->request->op == WIRE_BEGIN && result->end == UP_OK)
+    {
+      op->transaction = htx_open (h, op, result->status.term, now_us);
+      hop_finish (h, op, RSN_OK, NULL, now_us);
+      return;
+    }
+  if (is_connection_gone (result->end))
+    pool_drop (pool, op->conn, true);
+  else
+    pool_put (pool, op->conn, now_us);
+  if (!op->request)
+    free_op (op);
+  else if (result->end == UP_OK)
+    start_confirming (h, op, result, now_us);
+  else
+    hop_finish (h, op, reason_of (op, result->end), result->detail, now_us);
+}
+
+void
+hop_done (struct home *h, struct home_op *op, const struct up_result *result,
+          int64_t now_us)
+{
+  struct home_group *g = op->group;
+  uint32_t instance = op->instance;
+
+  release_slot (h, op, now_us);
+  op->state = OP_CONFIRMING;
+  if (result->has_status && g->watching)
+    mon_note (&g->mon, instance, op->started_us, now_us, &result->status);
+  if (op->transaction)
+    done_in_transaction (h, op, result, now_us);
+  else
+    done_alone (h, op, result, now_us);
+  hop_check_confirmed (h, g, now_us);
+  hop_start_queued (h, g, instance, now_us);
+}
+
+void
+hop_lost (struct home *h, struct home_op *op, bool close, int64_t now_us)
+{
+  struct up_result result = { 0 };
+
+  result.end = UP_LOST;
+  if (close)
+    h->options.up->ops->close (h->options.up, op->conn);
+  hop_done (h, op, &result, now_us);
+}
+
+/* The running op nobody will hear an answer of, one at a time: ending it may
+   change the list.  */
+static struct home_op *
+find_expired (const struct home *h, const struct home_group *g, int64_t now_us)
+{
+  struct home_op *op;
+  int64_t silence_us = h->options.silence_ms * MS_US;
+
+  cds_list_for_each_entry (op, &g->ops, link)
+    {
+      if (op->deadline_us <= now_us)
+        return op;
+      if (op->state == OP_RUNNING && now_us - op->started_us > silence_us)
+        return op;
+    }
+  return NULL;
+}
+
+void
+hop_expire (struct home *h, struct home_group *g, int64_t now_us)
+{
+  struct home_op *op;
+
+  while ((op = find_expired (h, g, now_us)) != NULL)
+    switch (op->state)
+      {
+      case OP_QUEUED:
+        hop_finish (h, op, RSN_DEADLINE_PASSED, NULL, now_us);
+        break;
+      case OP_RUNNING:
+        ctr_add (h->options.counters, CTR_CONNECTION_SILENT, 1);
+        hop_lost (h, op, true, now_us);
+        break;
+      case OP_CONFIRMING:
+        hop_finish (h, op,
+                    op->request->read ? RSN_READ_UNCONFIRMED : RSN_UNCONFIRMED,
+                    NULL, now_us);
+        break;
+      }
+}
--- /dev/null
+++ b/packages/core/quorum.c
@@ -0,0 +1,265 @@
+/* Proofs about a database group.  */
+#include "quorum.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+qrm_init (struct qrm *q, uint32_t n_instances)
+{
+  memset (q, 0, sizeof *q);
+  q->n = n_instances;
+  q->primary = QRM_NONE;
+  q->led_since_us = INT64_MIN;
+}
+
+uint32_t
+qrm_majority (const struct qrm *q)
+{
+  return q->n / 2 + 1;
+}
+
+uint64_t
+qrm_highest_term (const struct qrm *q)
+{
+  uint64_t highest = 0;
+
+  for (uint32_t i = 0; i < q->n; i++)
+    if (q->seen[i].known && q->seen[i].status.granted_term > highest)
+      highest = q->seen[i].status.granted_term;
+  return highest;
+}
+
+bool
+qrm_is_fresh (const struct qrm *q, uint32_t instance, int64_t now_us,
+              int64_t window_us)
+{
+  const struct qrm_seen *s = &q->seen[instance];
+
+  return s->known && s->heard_us > now_us - window_us;
+}
+
+uint32_t
+qrm_count_fresh (const struct qrm *q, int64_t now_us, int64_t window_us)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < q->n; i++)
+    count += qrm_is_fresh (q, i, now_us, window_us);
+  return count;
+}
+
+/* An instance stands under TERM when it has promised to no later one and
+   follows, or is, TERM's primary.  */
+static bool
+stands_under (const struct qrm_seen *s, uint64_t term)
+{
+  return s->known && s->status.term == term && s->status.granted_term == term
+         && s->status.role != QRM_FENCED;
+}
+
+static int32_t
+compare_descending (const void *a, const void *b)
+{
+  uint64_t x = *(const uint64_t *)a;
+  uint64_t y = *(const uint64_t *)b;
+
+  return x < y ? 1 : x > y ? -1 : 0;
+}
+
+/* The position that a majority holds under TERM.  Answers of different
+   moments may be combined: an instance that once held a position under TERM
+   reports at least that position to whoever fences it later.  */
+static uint64_t
+held_by_majority (const struct qrm *q, uint64_t term)
+{
+  uint64_t held[DCL_INSTANCES_MAX] = { 0 };
+
+  for (uint32_t i = 0; i < q->n; i++)
+    if (stands_under (&q->seen[i], term))
+      held[i] = q->seen[i].status.position;
+  qsort (held, q->n, sizeof held[0], compare_descending);
+  return held[qrm_majority (q) - 1];
+}
+
+/* The latest local time for which a majority, the primary among it, is known
+   to have stood under TERM; INT64_MIN when there is none.  */
+static int64_t
+led_since (const struct qrm *q, uint64_t term, uint32_t primary)
+{
+  int64_t newest = INT64_MIN;
+
+  for (uint32_t i = 0; i < q->n; i++)
+    {
+      uint32_t count = 0;
+      int64_t t = q->seen[i].asked_us;
+
+      if (!stands_under (&q->seen[i], term) || t > q->seen[primary].asked_us)
+        continue;
+      for (uint32_t j = 0; j < q->n; j++)
+        count += stands_under (&q->seen[j], term) && q->seen[j].asked_us >= t;
+      if (count >= qrm_majority (q) && t > newest)
+        newest = t;
+    }
+  return newest;
+}
+
+/* Drops every second sample of the older half.  */
+static void
+thin_samples (struct qrm *q)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < q->n_samples; i++)
+    if (i >= QRM_SAMPLES / 2 || i % 2 == 0)
+      q->samples[kept++] = q->samples[i];
+  q->n_samples = kept;
+}
+
+static void
+add_sample (struct qrm *q, int64_t asked_us, uint64_t term, uint64_t position)
+{
+  uint32_t n = q->n_samples;
+  struct qrm_sample sample = { asked_us, term, position };
+
+  if (n > 0 && asked_us <= q->samples[n - 1].asked_us)
+    return;
+  /* A later proof of the same position serves for both.  */
+  if (n > 0 && q->samples[n - 1].term == term
+      && q->samples[n - 1].position == position)
+    {
+      q->samples[n - 1] = sample;
+      return;
+    }
+  if (n > 1 && asked_us - q->samples[n - 2].asked_us < QRM_SAMPLE_GAP_US)
+    {
+      q->samples[n - 1] = sample;
+      return;
+    }
+  if (n == QRM_SAMPLES)
+    thin_samples (q);
+  q->samples[q->n_samples++] = sample;
+}
+
+/* Re-derives the proofs for PRIMARY, which claims its term.  */
+static bool
+prove (struct qrm *q, uint32_t primary)
+{
+  const struct qrm_status *s = &q->seen[primary].status;
+  int64_t since = led_since (q, s->term, primary);
+  uint64_t held;
+  bool advanced = false;
+
+  if (since == INT64_MIN || s->term < q->term)
+    return false;
+  if (s->term > q->term)
+    {
+      q->term = s->term;
+      q->primary = primary;
+      q->confirmed = 0;
+      q->led_since_us = INT64_MIN;
+      advanced = true;
+    }
+  if (since > q->led_since_us)
+    {
+      q->led_since_us = since;
+      /* The primary's own position, asked no earlier than SINCE, bounds all
+         that was acknowledged before SINCE.  */
+      add_sample (q, since, s->term, s->position);
+      advanced = true;
+    }
+  /* Positions of earlier terms count only through an entry of this one: a
+     later primary could still replace them otherwise.  */
+  held = held_by_majority (q, s->term);
+  if (s->term_start > 0 && held >= s->term_start && held > q->confirmed)
+    {
+      q->confirmed = held;
+      advanced = true;
+    }
+  return advanced;
+}
+
+bool
+qrm_note (struct qrm *q, uint32_t instance, int64_t asked_us, int64_t heard_us,
+          const struct qrm_status *status)
+{
+  struct qrm_seen *s = &q->seen[instance];
+  bool advanced = false;
+
+  if (s->known && asked_us < s->asked_us)
+    return false;
+  s->known = true;
+  s->asked_us = asked_us;
+  s->heard_us = heard_us;
+  s->status = *status;
+  for (uint32_t i = 0; i < q->n; i++)
+    if (q->seen[i].known && q->seen[i].status.role == QRM_PRIMARY
+        && stands_under (&q->seen[i], q->seen[i].status.term))
+      advanced |= prove (q, i);
+  return advanced;
+}
+
+int64_t
+qrm_age_us (const struct qrm *q, uint64_t term, uint64_t position,
+            int64_t now_us)
+{
+  for (uint32_t k = q->n_samples; k > 0; k--)
+    {
+      const struct qrm_sample *s = &q->samples[k - 1];
+
+      if (s->term <= term && s->position <= position)
+        return now_us > s->asked_us ? now_us - s->asked_us : 0;
+    }
+  return QRM_AGE_UNKNOWN;
+}
+
+int64_t
+qrm_confirm_lag_us (const struct qrm *q, int64_t now_us)
+{
+  const struct qrm_sample *last;
+
+  if (q->n_samples == 0)
+    return QRM_AGE_UNKNOWN;
+  last = &q->samples[q->n_samples - 1];
+  if (last->term == q->term && last->position <= q->confirmed)
+    return 0;
+  return qrm_age_us (q, q->term, q->confirmed, now_us);
+}
+
+static bool
+majority_write (const struct qrm *q, uint64_t term, uint64_t position)
+{
+  return q->term == term && q->confirmed >= position;
+}
+
+static bool
+majority_read (const struct qrm *q, int64_t arrived_us, uint64_t term,
+               uint64_t position)
+{
+  return majority_write (q, term, position) && q->led_since_us >= arrived_us;
+}
+
+static bool
+primary_only_write (const struct qrm *q, uint64_t term, uint64_t position)
+{
+  (void)q;
+  (void)term;
+  (void)position;
+  return true;
+}
+
+static bool
+primary_only_read (const struct qrm *q, int64_t arrived_us, uint64_t term,
+                   uint64_t position)
+{
+  (void)q;
+  (void)arrived_us;
+  (void)term;
+  (void)position;
+  return true;
+}
+
+const struct qrm_rule qrm_rule_majority
+    = { "majority", majority_write, majority_read };
+const struct qrm_rule qrm_rule_primary_only
+    = { "primary-only", primary_only_write, primary_only_read };
--- /dev/null
+++ b/packages/core/reason.h
@@ -0,0 +1,85 @@
+/* Reasons, retry causes and counters: one table each, many uses.  */
+#ifndef CB_REASON_H
+#define CB_REASON_H
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What a caller may conclude about its request.  NOT_RUN is a promise that
+   nothing was executed and nothing will be.  */
+enum rsn_outcome
+{
+  RSN_DONE,
+  RSN_NOT_RUN,
+  RSN_UNKNOWN
+};
+
+enum rsn
+{
+#define R(sym, text, outcome, http, after) RSN_##sym,
+#include "reasons.def"
+#undef R
+  RSN_COUNT
+};
+
+enum rsn_retry
+{
+#define T(sym, text) RETRY_##sym,
+#include "retries.def"
+#undef T
+  RETRY_COUNT
+};
+
+enum ctr
+{
+#define C(sym, name, help) CTR_##sym,
+#include "counters.def"
+#undef C
+  CTR_COUNT
+};
+
+/* Upper bounds of the latency histogram, in microseconds; the last bucket is
+   unbounded.  */
+#define CTR_BUCKETS 16
+/* Kinds with a histogram of their own; further kinds share the last one.  */
+#define CTR_KINDS_MAX 32
+#define CTR_KIND_NAME_MAX 64
+
+/* Latency histogram of one kind of request.  */
+struct ctr_histogram
+{
+  char kind[CTR_KIND_NAME_MAX];
+  _Atomic uint64_t bucket[CTR_BUCKETS];
+  _Atomic uint64_t sum_us;
+};
+
+/* All counters of a process.  Any thread may add; readers see each counter
+   alone, not a snapshot of all.  */
+struct ctr_set
+{
+  _Atomic uint64_t reason[RSN_COUNT];
+  _Atomic uint64_t retry[RETRY_COUNT];
+  _Atomic uint64_t event[CTR_COUNT];
+  _Atomic uint32_t n_kinds;
+  struct ctr_histogram latency[CTR_KINDS_MAX];
+};
+
+const char *rsn_text (enum rsn reason);
+enum rsn_outcome rsn_outcome_of (enum rsn reason);
+const char *rsn_outcome_text (enum rsn_outcome outcome);
+int32_t rsn_http_status (enum rsn reason);
+/* Seconds for Retry-After, 0 where waiting does not help.  */
+int32_t rsn_retry_after_s (enum rsn reason);
+const char *rsn_retry_text (enum rsn_retry retry);
+
+void ctr_add (struct ctr_set *set, enum ctr counter, uint64_t n);
+uint64_t ctr_get (const struct ctr_set *set, enum ctr counter);
+/* Counts one answered request of KIND that took LATENCY_US.  Called by one
+   thread, the engine's.  */
+void ctr_observe (struct ctr_set *set, const char *kind, int64_t latency_us);
+/* Appends the text exposition of all counters to OUT.  */
+void ctr_write_text (const struct ctr_set *set, GString *out);
+
+#endif
--- /dev/null
+++ b/packages/core/spread.h
@@ -0,0 +1,64 @@
+/* Spreads the configuration: learns of newer revisions from the store or from
+   peers' heartbeats, pulls the manifest and the files that differ, validates
+   the whole and puts it in force.  The revision in force never goes back.  */
+#ifndef CB_SPREAD_H
+#define CB_SPREAD_H
+
+#include "manifest.h"
+#include "reason.h"
+#include "wire.h"
+
+/* A pull that brings nothing is repeated elsewhere after this time.  */
+#define SPR_PULL_TIMEOUT_MS 1500
+/* Bytes of file contents in one answer to a pull.  */
+#define SPR_ANSWER_BYTES (2 * 1024 * 1024)
+/* File hashes asked for in one pull.  */
+#define SPR_PULL_MAX 256
+
+/* Puts SET, which then belongs to the receiver, in force.  */
+typedef void spr_adopt_fn (void *arg, struct dcl_set *set, uint64_t revision);
+/* Asks a peer; TO is "" for the store.  PULL is borrowed.  */
+typedef void spr_pull_fn (void *arg, const char *to,
+                          const struct wire_pull *pull);
+
+struct spr_options
+{
+  spr_adopt_fn *adopt;
+  spr_pull_fn *pull;
+  void *arg;
+  struct ctr_set *counters;
+  bool unsafe_any_revision; /* test only: takes older revisions too */
+};
+
+struct spr
+{
+  struct spr_options options;
+  uint64_t revision; /* in force, 0 = none */
+  char *manifest;    /* its text */
+  GHashTable *blobs; /* hash -> GBytes * */
+  struct mnf wanted; /* being completed; revision 0 = none */
+  char *wanted_text;
+  char source[DCL_NAME_MAX + 1]; /* where the rest is asked for */
+  uint64_t heard;                /* highest revision heard of */
+  char heard_from[DCL_NAME_MAX + 1];
+  int64_t pull_us;   /* when the latest pull was sent, 0 = none */
+  uint64_t rejected; /* revision that did not validate */
+  char *rejection;   /* why */
+};
+
+void spr_init (struct spr *s, const struct spr_options *options);
+void spr_free (struct spr *s);
+/* A peer has REVISION in force.  */
+void spr_hear (struct spr *s, const char *vm, uint64_t revision,
+               int64_t now_us);
+/* Takes a manifest and files from SOURCE ("" = the store).  */
+void spr_take (struct spr *s, const char *source,
+               const struct wire_files *files, int64_t now_us);
+void spr_tick (struct spr *s, int64_t now_us);
+/* Answers PULL from what is in force; the caller frees it with
+   spr_free_answer. False when there is nothing to say.  */
+bool spr_answer (struct spr *s, const struct wire_pull *pull,
+                 struct wire_files *answer);
+void spr_free_answer (struct wire_files *answer);
+
+#endif
--- /dev/null
+++ b/packages/core/units.h
@@ -0,0 +1,10 @@
+/* Unit conversions.  */
+#ifndef CB_UNITS_H
+#define CB_UNITS_H
+
+#include <stdint.h>
+
+/* Microseconds in a millisecond.  */
+#define MS_US INT64_C (1000)
+
+#endif
