--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,11 @@
 
 SOURCES = $(wildcard packages/*/*.c tests/*/*.c)
 FORMATTED = $(SOURCES) $(wildcard packages/*/*.h tests/*/*.h tests/*/*.cc)
+# Loop macros of libraries, simplified for cppcheck.
+CPPCHECK_MACROS = \
+  '-Djson_array_foreach(a,i,v)=for(i=0;i<json_array_size(a)&&(v=json_array_get(a,i));i++)' \
+  '-Dcds_list_for_each_entry(p,h,m)=for((p)=(void*)(h);(p);)' \
+  '-Dcds_list_for_each_entry_safe(p,t,h,m)=for((p)=(t)=(void*)(h);(p);)'
 LINTERS = clang-format clang-tidy cppcheck
 
 all: build
@@ -31,7 +36,7 @@
 	@dpkg -s $(LINTERS) > /dev/null 2>&1 || \
 	  apt-get install -y -q --no-install-recommends $(LINTERS)
 	clang-format --dry-run --Werror $(FORMATTED)
-	cppcheck -q --error-exitcode=1 --inline-suppr \
+	cppcheck $(CPPCHECK_MACROS) -q --error-exitcode=1 --inline-suppr \
 	  --enable=warning,performance,portability --std=c11 -j 4 \
 	  --suppress=missingInclude --suppress=missingIncludeSystem \
 	  -Ipackages/core -Ipackages/adapters -Ipackages/proxy -Ipackages/ctl \
--- a/packages/adapters/callerjson.c
+++ b/packages/adapters/callerjson.c
@@ -138,7 +138,7 @@
 cjs_parse (enum wire_op op, const char *text, size_t len,
            struct caller_body *out, char **detail)
 {
-  json_error_t error;
+  json_error_t error = { 0 };
   json_t *root;
   enum rsn reason;
 
--- a/packages/core/decl.c
+++ b/packages/core/decl.c
@@ -418,6 +418,7 @@
       parse_section (p, root, "reads", parse_read);
       parse_section (p, root, "requests", parse_request);
     }
+  p->doc = NULL;
   yml_free (&doc);
 }
 
--- a/packages/core/pool.c
+++ b/packages/core/pool.c
@@ -61,7 +61,7 @@
 static void
 back_off (struct pool *p, int64_t now_us, double jitter)
 {
-  int64_t delay = RETRY_BASE_US << MIN (p->failures, 5);
+  int64_t delay = (int64_t)RETRY_BASE_US << MIN (p->failures, 5U);
 
   p->failures++;
   delay = MIN (delay, RETRY_MAX_US);
--- a/packages/core/pool.h
+++ b/packages/core/pool.h
@@ -38,7 +38,7 @@
   const struct dcl_instance *instance;
   struct pool_conn conns[POOL_MAX];
   int64_t retry_us; /* no opening before */
-  int32_t failures; /* in a row */
+  uint32_t failures; /* in a row */
 };
 
 void pool_init (struct pool *p, const struct pool_options *options,
--- a/packages/ctl/apply.c
+++ b/packages/ctl/apply.c
@@ -112,7 +112,7 @@
     {
       const struct dcl_file *f = g_ptr_array_index (files, i);
 
-      if (strcmp (f->name, name) == 0)
+      if (g_strcmp0 (f->name, name) == 0)
         return f;
     }
   return NULL;
--- a/packages/proxy/logging.c
+++ b/packages/proxy/logging.c
@@ -76,7 +76,7 @@
   log_vm = vm;
   log_json = json;
   log_mask = G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING;
-  for (int32_t i = 1; i <= level; i++)
+  for (int32_t i = 1; i <= MIN (level, 3); i++)
     log_mask |= added[i];
   g_log_set_writer_func (write_record, NULL, NULL);
 }
