--- a/packages/core/entry.c
+++ b/packages/core/entry.c
@@ -558,16 +558,19 @@
     on_refused (e, job, reply, now_us);
 }
 
-void
-ent_peer_lost (struct entry *e, const char *vm, int64_t now_us)
+/* Loses the attempts that are with VM or, when it is NULL, with any VM that
+   does not live.  */
+static void
+lose_attempts (struct entry *e, const char *vm, int64_t now_us)
 {
   struct job *job;
-  struct job *tmp;
   GPtrArray *lost = g_ptr_array_new ();
 
-  cds_list_for_each_entry_safe (job, tmp, &e->jobs, link)
+  cds_list_for_each_entry (job, &e->jobs, link)
     {
-      if (job->state == JOB_WAITING && strcmp (job->vm, vm) == 0)
+      if (job->state == JOB_WAITING
+          && (vm ? strcmp (job->vm, vm) == 0
+                 : !e->options.alive (e->options.arg, job->vm)))
         g_ptr_array_add (lost, job);
     }
   /* Each job is handled once; none of the others can end by it.  */
@@ -576,6 +579,18 @@
   g_ptr_array_free (lost, TRUE);
 }
 
+void
+ent_peer_lost (struct entry *e, const char *vm, int64_t now_us)
+{
+  lose_attempts (e, vm, now_us);
+}
+
+void
+ent_check_peers (struct entry *e, int64_t now_us)
+{
+  lose_attempts (e, NULL, now_us);
+}
+
 /* The caller's time is over.  */
 static void
 expire (struct entry *e, struct job *job, int64_t now_us)
--- a/packages/core/entry.h
+++ b/packages/core/entry.h
@@ -78,6 +78,9 @@
                 int64_t now_us);
 /* The link to VM broke: what was in flight on it is lost.  */
 void ent_peer_lost (struct entry *e, const char *vm, int64_t now_us);
+/* Membership changed: what is in flight at a VM that no longer lives is
+   lost.  */
+void ent_check_peers (struct entry *e, int64_t now_us);
 void ent_tick (struct entry *e, int64_t now_us);
 /* Refuses new work from now on.  */
 void ent_drain (struct entry *e);
--- a/packages/core/node.c
+++ b/packages/core/node.c
@@ -428,6 +428,7 @@
       n->roles_epoch = n->members.epoch;
       n->roles_us = now_us + ROLES_INTERVAL_US;
       home_update_roles (n->home, now_us);
+      ent_check_peers (n->entry, now_us);
     }
   spr_tick (&n->spread, now_us);
   home_tick (n->home, now_us, wall_ms);
--- a/packages/core/pool.h
+++ b/packages/core/pool.h
@@ -37,7 +37,7 @@
   struct pool_options options;
   const struct dcl_instance *instance;
   struct pool_conn conns[POOL_MAX];
-  int64_t retry_us; /* no opening before */
+  int64_t retry_us;  /* no opening before */
   uint32_t failures; /* in a row */
 };
 
--- a/packages/core/reason.h
+++ b/packages/core/reason.h
@@ -3,7 +3,9 @@
 #define CB_REASON_H
 
 #include <glib.h>
+#ifndef __cplusplus
 #include <stdatomic.h>
+#endif
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -47,22 +49,31 @@
 #define CTR_KINDS_MAX 32
 #define CTR_KIND_NAME_MAX 64
 
+/* A counter.  C++ tests share the layout and read through ctr_get.  */
+#ifdef __cplusplus
+typedef uint64_t ctr_cell;
+typedef uint32_t ctr_cell32;
+#else
+typedef _Atomic uint64_t ctr_cell;
+typedef _Atomic uint32_t ctr_cell32;
+#endif
+
 /* Latency histogram of one kind of request.  */
 struct ctr_histogram
 {
   char kind[CTR_KIND_NAME_MAX];
-  _Atomic uint64_t bucket[CTR_BUCKETS];
-  _Atomic uint64_t sum_us;
+  ctr_cell bucket[CTR_BUCKETS];
+  ctr_cell sum_us;
 };
 
 /* All counters of a process.  Any thread may add; readers see each counter
    alone, not a snapshot of all.  */
 struct ctr_set
 {
-  _Atomic uint64_t reason[RSN_COUNT];
-  _Atomic uint64_t retry[RETRY_COUNT];
-  _Atomic uint64_t event[CTR_COUNT];
-  _Atomic uint32_t n_kinds;
+  ctr_cell reason[RSN_COUNT];
+  ctr_cell retry[RETRY_COUNT];
+  ctr_cell event[CTR_COUNT];
+  ctr_cell32 n_kinds;
   struct ctr_histogram latency[CTR_KINDS_MAX];
 };
 
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -967,6 +967,7 @@
   g_queue_init (&i->waiting);
   g->names[index] = i->name;
   g_ptr_array_add (server.instances, i);
+  /* NOLINTNEXTLINE: server.instances keeps it.  */
   return listen_at (&i->listener, address, on_accept, i);
 }
 
