--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
   libglib2.0-dev libmsgpack-dev libcurl4-openssl-dev libjansson-dev \
   libpq-dev libxxhash-dev libsodium-dev libssl-dev
 
-.PHONY: all deps build demo test check
+.PHONY: all deps build demo test check bench explore
 
 SOURCES = $(wildcard packages/*/*.c tests/*/*.c)
 FORMATTED = $(SOURCES) $(wildcard packages/*/*.h tests/*/*.h tests/*/*.cc)
@@ -42,3 +42,12 @@
 	  -Ipackages/core -Ipackages/adapters -Ipackages/proxy -Ipackages/ctl \
 	  -Itests/fakes $(SOURCES)
 	echo $(SOURCES) | xargs -n 4 -P 6 clang-tidy -p $(BUILD) --quiet
+
+bench: build
+	BUILD=$(BUILD) bash tests/bench.sh
+
+# Fault schedules FIRST .. FIRST+N-1 on virtual time.
+FIRST ?= 1
+N ?= 1000
+explore: build
+	$(BUILD)/tests/explore $(FIRST) $(N)
--- a/packages/core/entry.c
+++ b/packages/core/entry.c
@@ -32,6 +32,7 @@
   void *tag;
   enum job_state state;
   bool resolving; /* the answer was lost: only the ledger can tell now */
+  bool in_doubt;  /* an earlier attempt of a write may have run */
   bool may_repeat;
   bool undeclared;
   struct wire_request *request; /* of the latest attempt */
@@ -166,6 +167,9 @@
                            : reply && reply->detail ? reply->detail
                                                     : "");
 
+  /* A later attempt's refusal says nothing about an earlier one.  */
+  if (job->in_doubt && rsn_outcome_of (reason) == RSN_NOT_RUN)
+    reason = RSN_ANSWER_LOST;
   answer.reason = reason;
   answer.detail = detail;
   answer.database = request->database;
@@ -387,7 +391,10 @@
   else if (r->ledger && (r->op == WIRE_RUN || r->op == WIRE_COMMIT))
     start_resolving (e, job, now_us);
   else if (r->op == WIRE_RUN && job->may_repeat && spend_retry (e, cause))
-    retry_now (e, job, now_us);
+    {
+      job->in_doubt = !r->read;
+      retry_now (e, job, now_us);
+    }
   else if (r->op == WIRE_BEGIN)
     /* An orphaned conversation is rolled back by its home.  */
     finish (e, job, RSN_NO_CONNECTION, NULL, now_us);
--- /dev/null
+++ b/tests/explore.c
@@ -0,0 +1,180 @@
+/* Draws fault schedules from seeds and checks each history.
+
+   explore FIRST COUNT [-v]: seeds FIRST .. FIRST+COUNT-1.  A failing seed is
+   printed with its schedule, shortened as far as it still fails.  */
+#include "fault.h"
+#include "history.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEPS_MAX 10
+#define STEP_MIN_US 100000
+#define STEP_MAX_US 2500000
+
+struct step
+{
+  const struct fault *fault;
+  int64_t n;
+  int64_t pause_us;
+  bool dropped;
+};
+
+struct schedule
+{
+  uint64_t seed;
+  uint32_t n;
+  struct step steps[STEPS_MAX];
+};
+
+static uint32_t
+count_faults (void)
+{
+  uint32_t n = 0;
+
+  while (fault_table[n].name)
+    n++;
+  return n;
+}
+
+static void
+draw (struct schedule *s, uint64_t seed)
+{
+  GRand *random = g_rand_new_with_seed ((guint32)(seed ^ 0x9e3779b9U));
+  uint32_t faults = count_faults ();
+
+  memset (s, 0, sizeof *s);
+  s->seed = seed;
+  s->n = (uint32_t)g_rand_int_range (random, 1, STEPS_MAX + 1);
+  for (uint32_t i = 0; i < s->n; i++)
+    {
+      struct step *step = &s->steps[i];
+
+      step->fault = &fault_table[g_rand_int_range (random, 0, (gint32)faults)];
+      step->n = g_rand_int_range (random, 0, (gint32)step->fault->n_max);
+      /* A third of the faults come together with the next.  */
+      step->pause_us
+          = g_rand_int_range (random, 0, 3) == 0
+                ? 0
+                : g_rand_int_range (random, STEP_MIN_US, STEP_MAX_US);
+    }
+  g_rand_free (random);
+}
+
+static void
+fill_options (struct world_options *o, uint64_t seed)
+{
+  bool suva = seed % 2 == 1;
+
+  memset (o, 0, sizeof *o);
+  o->seed = seed;
+  o->n_nodes = 6;
+  o->n_groups = 2;
+  o->n_instances = 3;
+  o->delay_us = suva ? 20000 : 8000;
+  o->local_delay_us = 500;
+  o->service_us = 2000;
+  o->open_us = suva ? 30000 : 10000;
+  o->slots = suva ? 5 : 2;
+  o->connections = suva ? 55 : 16;
+}
+
+/* Runs the schedule; the violations, freed by the caller.  */
+static char *
+run (const struct schedule *s, uint32_t *done)
+{
+  struct world_options o;
+  struct history h;
+  struct world *w;
+  char *found;
+
+  fill_options (&o, s->seed);
+  w = world_new (&o);
+  world_run (w, 4000000);
+  history_init (&h, w, 12);
+  history_run (&h, 500000);
+  for (uint32_t i = 0; i < s->n; i++)
+    if (!s->steps[i].dropped)
+      {
+        s->steps[i].fault->run (w, s->steps[i].n);
+        history_run (&h, s->steps[i].pause_us);
+      }
+  fault_heal_all (w);
+  history_run (&h, 8000000);
+  found = g_strdup (history_check (&h));
+  /* After all is healed every group must have a primary again.  */
+  if (h.done == 0)
+    {
+      g_free (found);
+      found = g_strdup ("nothing was done at all\n");
+    }
+  *done = h.done;
+  history_free (&h);
+  world_free (w);
+  return found;
+}
+
+/* Drops every step without which the schedule still fails.  */
+static void
+shorten (struct schedule *s)
+{
+  uint32_t done;
+  char *found;
+
+  for (uint32_t i = 0; i < s->n; i++)
+    {
+      s->steps[i].dropped = true;
+      found = run (s, &done);
+      if (found[0] == '\0')
+        s->steps[i].dropped = false;
+      g_free (found);
+    }
+}
+
+static void
+print_schedule (const struct schedule *s)
+{
+  for (uint32_t i = 0; i < s->n; i++)
+    if (!s->steps[i].dropped)
+      printf ("  %s %ld, then %ld ms\n", s->steps[i].fault->name,
+              s->steps[i].n, s->steps[i].pause_us / 1000);
+}
+
+int
+main (int argc, char **argv)
+{
+  uint64_t first = argc > 1 ? strtoull (argv[1], NULL, 10) : 1;
+  uint64_t count = argc > 2 ? strtoull (argv[2], NULL, 10) : 100;
+  uint64_t failed = 0;
+  uint64_t total_done = 0;
+  struct schedule s;
+  uint32_t done;
+
+  if (sodium_init () < 0)
+    return 1;
+  for (uint64_t seed = first; seed < first + count; seed++)
+    {
+      char *found;
+
+      draw (&s, seed);
+      found = run (&s, &done);
+      total_done += done;
+      if (found[0] != '\0')
+        {
+          failed++;
+          printf ("seed %lu:\n", seed);
+          shorten (&s);
+          print_schedule (&s);
+          g_free (found);
+          found = run (&s, &done);
+          printf ("%s", found);
+          fflush (stdout);
+        }
+      g_free (found);
+    }
+  printf ("schedules=%lu failed=%lu requests_done=%lu\n", count, failed,
+          total_done);
+  return failed > 0;
+}
--- a/tests/fakes/history.c
+++ b/tests/fakes/history.c
@@ -208,7 +208,7 @@
 static bool
 has_ended (const struct history *h, const struct world_call *call)
 {
-  return call->answers > 0 || !world_node_lives (h->world, call->node)
+  return call->answers > 0 || call->orphaned
          || world_now (h->world) - call->sent_us > 30000000;
 }
 
@@ -344,8 +344,7 @@
   for (uint32_t i = 0; i < h->n_callers; i++)
     if (h->callers[i].call)
       {
-        if (h->callers[i].call->answers == 0
-            && world_node_lives (h->world, h->callers[i].call->node))
+        if (h->callers[i].call->answers == 0 && !h->callers[i].call->orphaned)
           violate (h, "no answer: %s", h->callers[i].call->key);
         judge (h, i);
       }
--- a/tests/fakes/history.h
+++ b/tests/fakes/history.h
@@ -15,8 +15,8 @@
   uint32_t generation; /* the key changes when its state is unknown */
   uint32_t sequence;   /* of the latest write sent */
   uint32_t acked;      /* highest acknowledged in this generation */
-    struct tok token;
-  bool own;                /* the read under way is of its own key */
+  struct tok token;
+  bool own; /* the read under way is of its own key */
 };
 
 struct history
--- a/tests/fakes/world.c
+++ b/tests/fakes/world.c
@@ -847,6 +847,7 @@
 world_kill_node (struct world *w, uint32_t k)
 {
   struct host *h = &w->hosts[k];
+  struct world_call *call;
   GHashTableIter iter;
   gpointer value;
   GPtrArray *pipes;
@@ -863,7 +864,8 @@
   for (uint32_t i = 0; i < pipes->len; i++)
     drop_pipe (g_ptr_array_index (pipes, i));
   g_ptr_array_free (pipes, TRUE);
-  g_queue_clear (&h->calls);
+  while ((call = g_queue_pop_head (&h->calls)) != NULL)
+    call->orphaned = true;
   for (uint32_t i = 0; i < w->options.n_nodes; i++)
     if (w->hosts[i].node
         && !is_cut (w, centre_of_node (i), centre_of_node (k)))
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -44,6 +44,7 @@
   int64_t sent_us;
   int64_t answered_us; /* 0: not yet */
   uint32_t answers;    /* must become 1 */
+  bool orphaned;       /* its proxy died */
   enum rsn reason;
   char *rows;
   char *transaction;
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -135,7 +135,7 @@
 
 fleet_start_proxy () {
   fleet_write_proxy "$1"
-  fleet_spawn "vm-$(($1 + 1))" "$BUILD/packages/proxy/cassiabayd" \
+  fleet_spawn "vm-$(($1 + 1))" ${PROXY_PREFIX:-} "$BUILD/packages/proxy/cassiabayd" \
     --config "$FLEET_DIR/vm-$(($1 + 1)).yaml"
   PROXY_PIDS[$1]=$FLEET_PID
 }
