End-to-end tests of real processes; duplicates are dropped across refutations

Change: request ids are unique across a proxy's runs and the filter uses them alone. Also a leak of refused answers (AddressSanitizer) and GLib's thread pool in ctl (ThreadSanitizer) are gone.

--- a/packages/core/entry.c
+++ b/packages/core/entry.c
@@ -75,6 +75,7 @@
   CDS_INIT_LIST_HEAD (&e->jobs);
   e->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   e->beliefs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  e->next_id = options->first_id;
   e->retry_tokens = RETRY_TOKENS_MAX / 2;
   return e;
 }
--- a/packages/core/entry.h
+++ b/packages/core/entry.h
@@ -58,6 +58,7 @@
   struct ctr_set *counters;
   const char *data_centre;
   const char *region;
+  uint64_t first_id; /* attempts are numbered from here */
   uint32_t jobs_max; /* requests in flight */
   enum rte_policy policy;
   bool unlimited_retries; /* for measurement only */
--- a/packages/core/homeop.c
+++ b/packages/core/homeop.c
@@ -76,6 +76,7 @@
             const char *detail, int64_t now_us)
 {
   struct wire_reply reply = { 0 };
+  char *rows = op->rows;
   char *database;
   char *from;
 
@@ -94,7 +95,7 @@
     {
       reply.term = op->term;
       reply.position = op->position;
-      reply.rows = op->rows;
+      reply.rows = rows;
     }
   if (op->transaction)
     reply.transaction = op->transaction->id;
@@ -104,7 +105,7 @@
   op->rows = NULL;
   free_op (op);
   send_reply (h, from, &reply, database, now_us);
-  g_free (reply.rows);
+  g_free (rows);
   g_free (database);
   g_free (from);
 }
--- a/packages/core/node.c
+++ b/packages/core/node.c
@@ -13,6 +13,9 @@
 #define TICK_IDLE_US 10000
 /* Request messages remembered, to drop repeated ones.  */
 #define RECENT_MAX 4096
+/* Request ids of one run of a proxy start at its first incarnation, shifted by
+   so many bits: no two runs share an id.  */
+#define RUN_ID_BITS 22
 /* A VM without configuration asks the store itself after this time, plus up
    to as much again.  */
 #define COLD_READ_US (1500 * MS_US)
@@ -274,6 +277,7 @@
   e.counters = o->counters;
   e.data_centre = o->self.data_centre;
   e.region = o->self.region;
+  e.first_id = o->self.incarnation << RUN_ID_BITS;
   e.jobs_max = o->jobs_max;
   e.policy = o->policy;
   e.unlimited_retries = o->unlimited_retries;
@@ -474,9 +478,7 @@
 static bool
 is_repeated (struct node *n, const char *from, uint64_t id)
 {
-  const struct mbr_vm *v = mbr_find (&n->members, from);
-  char *key
-      = g_strdup_printf ("%s %lu %lu", from, v ? v->vm.incarnation : 0, id);
+  char *key = g_strdup_printf ("%s %lu", from, id);
 
   if (!g_hash_table_add (n->recent, key))
     return true;
--- a/packages/core/wire.h
+++ b/packages/core/wire.h
@@ -47,7 +47,7 @@
 struct wire_request
 {
   int32_t refs;
-  uint64_t id; /* unique among the sender's live requests and their tries */
+  uint64_t id; /* never used again by the sender, across its runs */
   enum wire_op op;
   char *database;
   char *instance;
--- a/packages/ctl/fleet.c
+++ b/packages/ctl/fleet.c
@@ -4,6 +4,8 @@
 #include "manifest.h"
 #include <curl/curl.h>
 #include <jansson.h>
+#include <pthread.h>
+#include <stdatomic.h>
 #include <string.h>
 
 /* Proxies asked at the same time.  */
@@ -101,10 +103,8 @@
 }
 
 static void
-ask_one (gpointer data, gpointer user)
+ask_one (struct fleet_vm *vm, int64_t timeout_ms)
 {
-  struct fleet_vm *vm = data;
-  int64_t timeout_ms = *(const int64_t *)user;
   CURL *curl = curl_easy_init ();
   GString *text = g_string_new (NULL);
   char *url = g_strdup_printf ("http://%s/v1/status", vm->admin);
@@ -123,15 +123,37 @@
   g_free (url);
 }
 
+/* The VMs still to be asked, shared by the threads.  */
+struct round
+{
+  GPtrArray *vms;
+  int64_t timeout_ms;
+  _Atomic uint32_t next;
+};
+
+static void *
+ask_next (void *arg)
+{
+  struct round *r = arg;
+  uint32_t i;
+
+  while ((i = atomic_fetch_add (&r->next, 1)) < r->vms->len)
+    ask_one (g_ptr_array_index (r->vms, i), r->timeout_ms);
+  return NULL;
+}
+
 void
 fleet_ask (GPtrArray *vms, int64_t timeout_ms)
 {
-  GThreadPool *pool
-      = g_thread_pool_new (ask_one, &timeout_ms, PARALLEL, FALSE, NULL);
+  struct round r = { vms, timeout_ms, 0 };
+  pthread_t threads[PARALLEL];
+  uint32_t n = 0;
 
-  for (uint32_t i = 0; i < vms->len; i++)
-    g_thread_pool_push (pool, g_ptr_array_index (vms, i), NULL);
-  g_thread_pool_free (pool, FALSE, TRUE);
+  while (n < PARALLEL && n < vms->len
+         && pthread_create (&threads[n], NULL, ask_next, &r) == 0)
+    n++;
+  for (uint32_t i = 0; i < n; i++)
+    pthread_join (threads[i], NULL);
 }
 
 uint32_t
--- a/packages/proxy/engine.c
+++ b/packages/proxy/engine.c
@@ -16,7 +16,11 @@
 #define CURVE_KEY_LEN 40
 #define FILES_CHECK_US (2000 * MS_US)
 /* Stack of each listener thread; only touched pages count.  */
+#ifdef __SANITIZE_THREAD__
+#define THREAD_STACK_BYTES (2 * 1024 * 1024)
+#else
 #define THREAD_STACK_BYTES (256 * 1024)
+#endif
 
 enum stop_phase
 {
--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -9,6 +9,7 @@
 DELAY_MS=1
 fleet_init "$DIR" imena
 fleet_start 2
+fleet_await_primaries
 echo "applied: $(cat "$DIR/apply.log")"
 "$BUILD/packages/ctl/cassiabay" status
 id=$(fleet_request_id)
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -34,7 +34,7 @@
   int64_t leases; /* granted so far; the id is the expiry time */
 } store;
 
-static volatile sig_atomic_t stopping;
+static _Atomic int stopping;
 
 static void
 on_signal (int signal)
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -188,6 +188,27 @@
   exec 9>&-
 }
 
+# Waits until every database has a primary that a majority follows.
+fleet_await_primaries () {
+  local n d i leads follows ready
+  for ((n = 0; n < 200; n++)); do
+    ready=0
+    for d in "${DATABASES[@]}"; do
+      leads=0; follows=0
+      for i in 1 2 3; do
+        case $(fleet_control "role $d-$i") in
+          2\ *) leads=1 ;;
+          1\ *) follows=$((follows + 1)) ;;
+        esac
+      done
+      [ $leads = 1 ] && [ $follows -ge 1 ] && ready=$((ready + 1))
+    done
+    [ $ready = ${#DATABASES[@]} ] && return 0
+    sleep 0.1
+  done
+  return 1
+}
+
 fleet_stop () {
   local pid
   for pid in "${FLEET_PIDS[@]}"; do kill -TERM "$pid" 2> /dev/null; done
@@ -207,9 +228,9 @@
 # answer in FLEET_ANSWER.
 fleet_call () {
   local k=$1 path=$2 body=$3 headers=$FLEET_DIR/headers
-  FLEET_ANSWER=$(curl -sS -D "$headers" \
-    -H "Cassiabay-Session: ${FLEET_SESSION:-}" \
-    -X POST "http://127.0.0.1:$((FLEET_BASE + k))$path" -d "$body")
+  FLEET_ANSWER=$(printf '%s' "$body" | curl -sS -D "$headers" \
+    -H "Cassiabay-Session: ${FLEET_SESSION:-}" -H 'Expect:' \
+    -X POST "http://127.0.0.1:$((FLEET_BASE + k))$path" --data-binary @-)
   FLEET_SESSION=$(tr -d '\r' < "$headers" \
     | awk 'tolower ($1) == "cassiabay-session:" { print $2 }')
 }
