Fuzzing of every parser; claimed msgpack lengths are bounded

Cause: libFuzzer made msgpack-c allocate 64 GB for one array header, and found memcpy of zero bytes from NULL. Change: a walk over the message refuses more elements than bytes before the library decodes; the copies are guarded.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
   libglib2.0-dev libmsgpack-dev libcurl4-openssl-dev libjansson-dev \
   libpq-dev libxxhash-dev libsodium-dev libssl-dev
 
-.PHONY: all deps build demo test check bench explore
+.PHONY: all deps build demo test check bench explore fuzz sanitize
 
 SOURCES = $(wildcard packages/*/*.c tests/*/*.c)
 FORMATTED = $(SOURCES) $(wildcard packages/*/*.h tests/*/*.h tests/*/*.cc)
@@ -46,6 +46,27 @@
 bench: build
 	BUILD=$(BUILD) bash tests/bench.sh
 
+# RUNS inputs for each parser, by libFuzzer.
+RUNS ?= 40000
+fuzz: deps
+	@dpkg -s clang > /dev/null 2>&1 || \
+	  apt-get install -y -q --no-install-recommends clang libclang-rt-14-dev
+	RUNS=$(RUNS) bash tests/fuzz/run.sh
+
+# The tests under AddressSanitizer and ThreadSanitizer; the latter with real
+# processes, since virtual time has one thread.
+sanitize: deps
+	for s in address,undefined thread; do \
+	  b=build-$${s%%,*}; \
+	  cmake -S . -B $$b -G Ninja -DSANITIZE=$$s > /dev/null && ninja -C $$b \
+	    || exit 1; \
+	done
+	build-address/tests/core-test
+	build-address/tests/world-test
+	RATE=40 FLEET_BASE_E2E=23000 BUILD=build-address bash tests/e2e.sh
+	G_SLICE=always-malloc TSAN_OPTIONS=suppressions=tests/tsan.supp RATE=40 \
+	  FLEET_BASE_E2E=24000 BUILD=build-thread bash tests/e2e.sh
+
 # Fault schedules FIRST .. FIRST+N-1 on virtual time.
 FIRST ?= 1
 N ?= 1000
--- a/packages/core/token.c
+++ b/packages/core/token.c
@@ -1,6 +1,7 @@
 /* Session tokens.  */
 #include "token.h"
 
+#include "packcheck.h"
 #include <msgpack.h>
 #include <sodium.h>
 #include <string.h>
@@ -36,7 +37,8 @@
       || f[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER
       || f[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
     return false;
-  memcpy (mark->database, f[0].via.str.ptr, f[0].via.str.size);
+  if (f[0].via.str.size > 0)
+    memcpy (mark->database, f[0].via.str.ptr, f[0].via.str.size);
   mark->database[f[0].via.str.size] = '\0';
   mark->term = f[1].via.u64;
   mark->position = f[2].via.u64;
@@ -83,6 +85,8 @@
     return RSN_TOKEN_MALFORMED;
   if (!is_authentic (raw, len, keys))
     return RSN_TOKEN_FORGED;
+  if (!pkc_is_bounded ((const char *)raw + MAC_BYTES, len - MAC_BYTES))
+    return RSN_TOKEN_MALFORMED;
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, (const char *)raw + MAC_BYTES,
                            len - MAC_BYTES, &offset)
--- a/packages/core/wire.c
+++ b/packages/core/wire.c
@@ -1,6 +1,7 @@
 /* Messages between proxies.  */
 #include "wire.h"
 
+#include "packcheck.h"
 #include <msgpack.h>
 #include <string.h>
 
@@ -357,7 +358,8 @@
       c->failed = true;
       return;
     }
-  memcpy (out, o->via.str.ptr, o->via.str.size);
+  if (o->via.str.size > 0)
+    memcpy (out, o->via.str.ptr, o->via.str.size);
   out[o->via.str.size] = '\0';
 }
 
@@ -550,7 +552,8 @@
     {
       blob->len = o->via.bin.size;
       blob->text = g_malloc0 (blob->len + 1);
-      memcpy (blob->text, o->via.bin.ptr, blob->len);
+      if (blob->len > 0)
+        memcpy (blob->text, o->via.bin.ptr, blob->len);
     }
   c->failed |= item.failed;
 }
@@ -615,6 +618,8 @@
   bool ok = false;
 
   memset (out, 0, sizeof *out);
+  if (!pkc_is_bounded (data, len))
+    return false;
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, data, len, &offset)
           == MSGPACK_UNPACK_SUCCESS
--- a/tests/unit/core_test.cc
+++ b/tests/unit/core_test.cc
@@ -11,6 +11,7 @@
 #include "decl.h"
 #include "failover.h"
 #include "manifest.h"
+#include "packcheck.h"
 #include "pool.h"
 #include "quorum.h"
 #include "rendezvous.h"
@@ -486,6 +487,22 @@
   wire_request_unref (r);
 }
 
+// Found by fuzzing: msgpack-c allocates for the length an array claims.
+TEST (Wire, ClaimedLengthsAreBoundedByTheMessage)
+{
+  const std::vector<std::string> cases = {
+    std::string ("\xdd\x92\x01\x91\x93\xa4 bins", 11),
+    std::string ("\xdc\xff\xff\xdc\xff\xff", 6),
+    std::string ("\xdf\xff\xff\xff\xff\x01", 6),
+    std::string ("\x92\x01", 2),
+    std::string ("\x01\x01", 2),
+    std::string ("", 0),
+  };
+  for (const auto &c : cases)
+    EXPECT_FALSE (pkc_is_bounded (c.data (), c.size ()));
+  EXPECT_TRUE (pkc_is_bounded ("\x92\x01\xa1x", 4));
+}
+
 TEST (Wire, UnknownReasonProvesNothing)
 {
   struct wire_reply reply = {};
