--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -950,7 +950,7 @@
 static bool
 add_instance (struct group *g, uint32_t index, json_t *item)
 {
-  struct instance *i = g_new0 (struct instance, 1);
+  struct instance *i;
   const char *name;
   const char *address;
   const char *centre;
@@ -959,6 +959,7 @@
                    "data_centre", &centre)
       != 0)
     return false;
+  i = g_new0 (struct instance, 1);
   i->group = g;
   i->index = index;
   i->name = g_strdup (name);
@@ -967,7 +968,6 @@
   g_queue_init (&i->waiting);
   g->names[index] = i->name;
   g_ptr_array_add (server.instances, i);
-  /* NOLINTNEXTLINE: server.instances keeps it.  */
   return listen_at (&i->listener, address, on_accept, i);
 }
 
--- a/tests/fakes/world.c
+++ b/tests/fakes/world.c
@@ -1329,6 +1329,7 @@
   g_queue_push_tail (&w->hosts[node].calls, c);
   node_submit (w->hosts[node].node, call, w->now_us,
                WALL_START_MS + w->now_us / 1000);
+  call->statements = NULL;
   return c;
 }
 
