--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
   libglib2.0-dev libmsgpack-dev libcurl4-openssl-dev libjansson-dev \
   libpq-dev libxxhash-dev libsodium-dev libssl-dev
 
-.PHONY: all deps build demo test check bench explore fuzz sanitize
+.PHONY: all deps build demo test check bench bench-fleet explore fuzz sanitize
 
 SOURCES = $(wildcard packages/*/*.c tests/*/*.c)
 FORMATTED = $(SOURCES) $(wildcard packages/*/*.h tests/*/*.h tests/*/*.cc)
@@ -43,6 +43,9 @@
 	  -Itests/fakes $(SOURCES)
 	echo $(SOURCES) | xargs -n 4 -P 6 clang-tidy -p $(BUILD) --quiet
 
+bench-fleet: build
+	BUILD=$(BUILD) DEPLOYMENT=$(or $(DEPLOYMENT),imena) bash tests/bench_fleet.sh
+
 bench: build
 	BUILD=$(BUILD) bash tests/bench.sh
 
