Trace recording and replay; an hour of each workload

cassiabayd records with trace.record_file; cassiabay replay sends a trace to proxies at any speed, compares outcomes and rows with those stated and sends each settled request twice.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
   libglib2.0-dev libmsgpack-dev libcurl4-openssl-dev libjansson-dev \
   libpq-dev libxxhash-dev libsodium-dev libssl-dev
 
-.PHONY: all deps build demo test check bench bench-fleet explore fuzz sanitize slopes capacity
+.PHONY: all deps build demo test check bench bench-fleet explore fuzz sanitize slopes capacity replay experiments
 
 SOURCES = $(wildcard packages/*/*.c tests/*/*.c)
 FORMATTED = $(SOURCES) $(wildcard packages/*/*.h tests/*/*.h tests/*/*.cc)
@@ -84,3 +84,12 @@
 
 capacity:
 	awk -f tests/capacity.awk docs/slopes.txt > docs/CAPACITY.md
+
+# The one-hour traces of both workloads.
+replay: build
+	BUILD=$(BUILD) DEPLOYMENT=imena bash tests/replay.sh
+	BUILD=$(BUILD) DEPLOYMENT=suva bash tests/replay.sh
+
+# What each decision buys, against baselines: a table for DEPLOYMENT.
+experiments: build
+	BUILD=$(BUILD) DEPLOYMENT=$(or $(DEPLOYMENT),imena) bash tests/experiments.sh
--- a/packages/adapters/http.c
+++ b/packages/adapters/http.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 #define SESSION_HEADER "Cassiabay-Session"
+/* Names the caller in recorded traces; nothing else rests on it.  */
+#define CALLER_HEADER "Cassiabay-Caller"
 /* Threads of the operators' listener.  */
 #define OPERATOR_THREADS "4"
 #define TRANSACTIONS_URI "/v1/transactions"
@@ -207,8 +209,27 @@
 }
 
 static void
-run_call (struct http *h, struct mg_connection *conn, struct exchange *x)
+record_call (struct http *h, struct mg_connection *conn,
+             const struct exchange *x, const char *body, int64_t came_us)
 {
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  const char *caller = mg_get_header (conn, CALLER_HEADER);
+  struct trace_record record = { 0 };
+
+  record.took_us = loop_now_us () - came_us;
+  record.at_ms = loop_wall_ms () - record.took_us / 1000;
+  record.caller = caller ? caller : "";
+  record.path = info->local_uri;
+  record.body = body;
+  record.answer = x->body;
+  trace_write (h->options.trace, &record);
+}
+
+static void
+run_call (struct http *h, struct mg_connection *conn, struct exchange *x,
+          const char *request)
+{
+  int64_t came_us = loop_now_us ();
   const char *text = mg_get_header (conn, SESSION_HEADER);
   enum rsn reason
       = tok_decode (text ? text : "", &h->options.keys, &x->call.token);
@@ -225,6 +246,8 @@
     }
   x->mail.fn = submit;
   await (x);
+  if (h->options.trace)
+    record_call (h, conn, x, request, came_us);
   if (x->term > 0)
     tok_raise (&x->call.token, x->database, x->term, x->position);
   session = tok_encode (&x->call.token, &h->options.keys);
@@ -260,7 +283,7 @@
       x.call.deadline_ms = body.deadline_ms;
       x.call.n_statements = body.n_statements;
       x.call.statements = body.statements;
-      run_call (h, conn, &x);
+      run_call (h, conn, &x, text->str);
       clear_exchange (&x);
     }
   atomic_fetch_sub (&h->busy, 1);
--- a/packages/adapters/http.h
+++ b/packages/adapters/http.h
@@ -8,6 +8,7 @@
 #include "mailbox.h"
 #include "node.h"
 #include "rcu.h"
+#include "trace.h"
 
 struct http_options
 {
@@ -24,6 +25,7 @@
   struct node *const *node; /* used on the engine thread only */
   struct ctr_set *counters;
   struct rcu_cell *access; /* struct access *, NULL: all is allowed */
+  struct trace *trace;     /* NULL: nothing is recorded */
 };
 
 struct http;
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -1,6 +1,7 @@
 /* cassiabay: the operators' command.  */
 #include "apply.h"
 #include "fleet.h"
+#include "replay.h"
 
 #include <curl/curl.h>
 #include <getopt.h>
@@ -39,6 +40,8 @@
   bool json;
   bool wait;
   int64_t timeout_ms;
+  const char *targets[OPTION_LISTS_MAX + 1];
+  double speed;
   char **files; /* NULL-terminated */
 };
 
@@ -53,6 +56,8 @@
         { "proxy", required_argument, NULL, 'p' },
         { "remove", required_argument, NULL, 'r' },
         { "timeout", required_argument, NULL, 't' },
+        { "target", required_argument, NULL, 'T' },
+        { "speed", required_argument, NULL, 'S' },
         { "wait", no_argument, NULL, 'w' },
         { "json", no_argument, NULL, 'j' },
         { "help", no_argument, NULL, 'h' },
@@ -73,6 +78,8 @@
       "  diff FILE...     show how files differ from what is in force\n"
       "  export           print what is in force\n"
       "  status           show which proxy has which revision\n"
+      "  replay TRACE     send a recorded trace to proxies, check the "
+      "answers\n"
       "  hash-token       read a bearer token, print its token_hash\n"
       "  keygen           print a new session key and a new peer key pair\n"
       "\n"
@@ -85,6 +92,8 @@
       "  --remove NAME    apply: drop a file; repeatable\n"
       "  --wait           apply: wait until every proxy has the revision\n"
       "  --timeout MS     limit of --wait and of a silent store (15000)\n"
+      "  --target ADDRESS replay: a proxy's callers' listener; repeatable\n"
+      "  --speed N        replay: N times faster than recorded\n"
       "  --json           machine-readable output\n"
       "  --help, --version\n"
       "\n"
@@ -442,6 +451,34 @@
   return reachable == 0 ? EXIT_OK : EXIT_STORE;
 }
 
+static enum exit_status
+run_replay (struct command_line *line)
+{
+  struct replay_options options = { 0 };
+  struct replay_result result = { 0 };
+  struct fnd_list findings;
+  bool ok;
+
+  if (!line->files[0] || !line->targets[0])
+    {
+      print_help (stderr);
+      return EXIT_INVALID;
+    }
+  options.file = line->files[0];
+  options.targets = line->targets;
+  options.speed = line->speed;
+  fnd_init (&findings);
+  ok = replay_run (&options, &result, &findings);
+  print_findings (&findings);
+  fnd_free (&findings);
+  printf ("calls=%u\nas_stated=%u\ndiffering=%u\nrepeated=%u\nbroken=%u\n",
+          result.calls, result.as_stated, result.differing, result.repeated,
+          result.broken);
+  if (!ok)
+    return EXIT_INVALID;
+  return result.differing + result.broken == 0 ? EXIT_OK : EXIT_STORE;
+}
+
 static enum exit_status
 run_hash_token (struct command_line *line)
 {
@@ -475,11 +512,14 @@
   return EXIT_OK;
 }
 
-static const struct command commands[]
-    = { { "check", run_check },   { "apply", run_apply },
-        { "diff", run_diff },     { "export", run_export },
-        { "status", run_status }, { "hash-token", run_hash_token },
-        { "keygen", run_keygen } };
+static const struct command commands[] = { { "check", run_check },
+                                           { "apply", run_apply },
+                                           { "diff", run_diff },
+                                           { "export", run_export },
+                                           { "status", run_status },
+                                           { "replay", run_replay },
+                                           { "hash-token", run_hash_token },
+                                           { "keygen", run_keygen } };
 
 static bool
 add_to (const char **list, const char *value)
@@ -520,6 +560,13 @@
         ok = g_ascii_string_to_signed (optarg, 10, 1, 3600000, &number, NULL);
         line->timeout_ms = ok ? number : 0;
         break;
+      case 'T':
+        ok = add_to (line->targets, optarg);
+        break;
+      case 'S':
+        line->speed = g_ascii_strtod (optarg, NULL);
+        ok = line->speed > 0;
+        break;
       case 'w':
         line->wait = true;
         break;
@@ -550,6 +597,7 @@
   bool ended = false;
 
   line.timeout_ms = 15000;
+  line.speed = 1.0;
   status = read_options (argc, argv, &line, &ended);
   if (status != EXIT_OK || ended)
     return (int)status;
--- a/packages/proxy/engine.c
+++ b/packages/proxy/engine.c
@@ -42,6 +42,7 @@
   struct storework *store;
   struct http *http;
   struct rcu_cell access;
+  struct trace *trace;
   time_t access_mtime;
   int64_t files_us;
   char *public_key;
@@ -348,6 +349,7 @@
   o.node = &e->node;
   o.counters = &e->counters;
   o.access = &e->access;
+  o.trace = e->trace;
   e->http = http_new (&o, &error);
   if (!e->http)
     g_warning ("%s", error->message);
@@ -378,6 +380,16 @@
   set_thread_stack ();
   if (!load_session_keys (e) || !load_access (e) || !loop_init (&e->loop))
     return false;
+  if (e->settings->record_file)
+    {
+      e->trace = trace_open (e->settings->record_file);
+      if (!e->trace)
+        {
+          g_warning ("trace.record_file %s cannot be opened",
+                     e->settings->record_file);
+          return false;
+        }
+    }
   mailbox_init (&e->mailbox, &e->loop);
   if (!start_peers (e))
     return false;
@@ -458,6 +470,7 @@
   /* Handlers still waiting need the mailbox emptied while they end; none is
      left after a drain in time.  */
   http_free (e->http);
+  trace_close (e->trace);
   storework_free (e->store);
   if (e->node)
     mailbox_drain (&e->mailbox, e);
