Allowed reads on the primary promise their age, not a majority

Change: a read with an allowed age is answered by its age proof on the primary too. The primary is now preferred to a replica's queue only beyond 150 ms (40 before), since its slots are the scarce ones.

--- a/packages/adapters/pg.c
+++ b/packages/adapters/pg.c
@@ -209,6 +209,7 @@
 {
   const struct wire_request *r = c->request;
 
+  g_assert (r);
   for (uint32_t i = 0; i < r->n_statements; i++)
     add_step (c, STEP_STATEMENT, r->statements[i].text,
               (int)r->statements[i].n_args,
@@ -253,6 +254,7 @@
 {
   const struct wire_request *r = c->request;
 
+  g_assert (r);
   add_plain (c, STEP_BEGIN,
              r->read ? "BEGIN ISOLATION LEVEL REPEATABLE READ READ ONLY"
                      : "BEGIN");
@@ -268,8 +270,10 @@
 static void
 send_resolve (struct conn *c, const struct up_op *op)
 {
-  const char *args[1] = { c->request->request_id };
+  const char *args[1];
 
+  g_assert (c->request);
+  args[0] = c->request->request_id;
   c->second_phase = true;
   add_plain (c, STEP_BEGIN, "BEGIN");
   add_guard (c, op);
@@ -284,6 +288,7 @@
 static void
 send_begin (struct conn *c, const struct up_op *op)
 {
+  g_assert (c->request);
   add_plain (c, STEP_BEGIN,
              c->request->read
                  ? "BEGIN ISOLATION LEVEL REPEATABLE READ READ ONLY"
@@ -295,6 +300,7 @@
 static void
 send_commit (struct conn *c)
 {
+  g_assert (c->request);
   c->second_phase = true;
   if (c->request->ledger && !c->request->read)
     add_ledger_insert (c);
--- a/packages/core/homeop.c
+++ b/packages/core/homeop.c
@@ -246,7 +246,9 @@
   const struct qrm_rule *rule = h->options.rule;
   int64_t age_us;
 
-  if (r->read && !op->primary)
+  /* A read with an allowed age promises no more than the age, on the primary
+   too: it need not wait for a majority that lags.  */
+  if (r->read && !r->fresh)
     {
       age_us = qrm_age_us (q, op->term, op->position, now_us);
       if (h->options.unsafe.no_age_proof || age_us <= r->max_age_ms * MS_US)
--- a/packages/core/route.c
+++ b/packages/core/route.c
@@ -7,7 +7,7 @@
 #define BELIEF_LIFE_US 1000000
 /* Primary connections are scarce: a replica is preferred up to this much
    longer wait.  */
-#define PRIMARY_PENALTY_MS 40
+#define PRIMARY_PENALTY_MS 150
 
 void
 rte_belief_init (struct rte_belief *belief)
--- a/tests/fakes/world.c
+++ b/tests/fakes/world.c
@@ -1074,6 +1074,22 @@
   w->databases = g_string_free (out, FALSE);
 }
 
+void
+world_set_deployment (struct world_options *o, bool suva, uint64_t seed)
+{
+  memset (o, 0, sizeof *o);
+  o->seed = seed;
+  o->n_nodes = 6;
+  o->n_groups = 2;
+  o->n_instances = 3;
+  o->delay_us = suva ? 20000 : 8000;
+  o->local_delay_us = 500;
+  o->service_us = 2000;
+  o->open_us = suva ? 30000 : 10000;
+  o->slots = suva ? 5 : 2;
+  o->connections = suva ? 55 : 16;
+}
+
 static void
 free_call (gpointer data)
 {
--- a/tests/fakes/world.h
+++ b/tests/fakes/world.h
@@ -31,6 +31,9 @@
   bool unsafe_any_revision;
 };
 
+/* Fills in a deployment of the brief: six nodes, two groups of three.  */
+void world_set_deployment (struct world_options *o, bool suva, uint64_t seed);
+
 /* A caller's call and its end.  */
 struct world_call
 {
