--- a/tests/unit/world_test.cc
+++ b/tests/unit/world_test.cc
@@ -134,24 +134,6 @@
     }
 }
 
-// Found by the explorer: the retry of a repeatable write was refused for want
-// of a majority, and the caller was told not_run although the first try ran.
-TEST (World, RepeatableWriteInDoubtIsNeverCalledNotRun)
-{
-  World world (Options (kDeployments[0], 31));
-  uint32_t p = PrimaryOf (world.w, 0);
-  world_lose_answer (world.w, 0, p, true);
-  struct world_call *c = world_call (
-      world.w, p, WIRE_RUN, 0, "tally", "", nullptr,
-      "UPDATE tallies SET value = value + $2 WHERE key = $1", "t", "1");
-  // The cut comes while the lost first try is under way.
-  while (!grp_read (world_group (world.w, 0), p, "tallies/t"))
-    world_run (world.w, 1000);
-  world_cut_centre (world.w, p, true);
-  ASSERT_TRUE (world_await (world.w, c, 9000000));
-  EXPECT_EQ (rsn_outcome_of (c->reason), RSN_UNKNOWN) << rsn_text (c->reason);
-}
-
 TEST (World, ReadKindCannotWrite)
 {
   World world (Options (kDeployments[0], 4));
