--- a/packages/adapters/http.c
+++ b/packages/adapters/http.c
@@ -20,6 +20,7 @@
   struct mg_context *callers;
   struct mg_context *operators;
   _Atomic int32_t busy;
+  _Atomic bool closing; /* answers end their connections */
 };
 
 /* A request waiting for the engine; lives on its handler's stack.  */
@@ -106,8 +107,8 @@
 }
 
 static void
-send_json (struct mg_connection *conn, enum rsn reason, const char *session,
-           const char *body)
+send_json (struct http *h, struct mg_connection *conn, enum rsn reason,
+           const char *session, const char *body)
 {
   int32_t after = rsn_retry_after_s (reason);
   GString *out = g_string_new (NULL);
@@ -121,6 +122,8 @@
       strlen (body));
   if (session && session[0] != '\0')
     g_string_append_printf (out, SESSION_HEADER ": %s\r\n", session);
+  if (atomic_load (&h->closing))
+    g_string_append (out, "Connection: close\r\n");
   if (after > 0)
     g_string_append_printf (out, "Retry-After: %d\r\n", after);
   g_string_append_printf (out, "\r\n%s", body);
@@ -139,7 +142,7 @@
   answer.reason = reason;
   answer.detail = detail;
   body = cjs_answer (&answer);
-  send_json (conn, reason, session, body);
+  send_json (h, conn, reason, session, body);
   g_free (body);
 }
 
@@ -251,7 +254,7 @@
   if (x->term > 0)
     tok_raise (&x->call.token, x->database, x->term, x->position);
   session = tok_encode (&x->call.token, &h->options.keys);
-  send_json (conn, x->reason, session, x->body);
+  send_json (h, conn, x->reason, session, x->body);
   g_free (session);
 }
 
@@ -540,6 +543,12 @@
   g_free (h);
 }
 
+void
+http_close_connections (struct http *h)
+{
+  atomic_store (&h->closing, true);
+}
+
 int32_t
 http_busy (struct http *h)
 {
--- a/packages/adapters/http.h
+++ b/packages/adapters/http.h
@@ -35,6 +35,9 @@
 void http_free (struct http *h);
 /* The engine's answer function (ent_answer_fn).  */
 void http_answer (void *arg, void *tag, const struct ent_answer *answer);
+/* From now on each answer tells its caller to use another connection, so that
+   none is idle and kept when the listener closes.  */
+void http_close_connections (struct http *h);
 /* Requests between reading and answering.  */
 int32_t http_busy (struct http *h);
 
--- a/packages/core/entry.c
+++ b/packages/core/entry.c
@@ -1,17 +1,12 @@
 /* The entry proxy's side.  */
-#include "entry.h"
+#include "entryint.h"
 
 #include "units.h"
 #include <string.h>
-#include <urcu/list.h>
-#include <xxhash.h>
 
 /* Pause before a home or primary that was not there is asked again.  */
 #define HOLD_MIN_US (20 * MS_US)
 #define HOLD_MAX_US (100 * MS_US)
-/* Each request earns this share of a retry; a retry costs a whole one.  */
-#define RETRY_EARN 0.1
-#define RETRY_TOKENS_MAX 100.0
 /* Homes answer this part of the deadline early, so that their reason arrives
    before the caller's time is over.  */
 #define REPLY_MARGIN_SHARE 32
@@ -19,53 +14,6 @@
 #define DISTANCE_REGION_MS 1
 #define DISTANCE_FAR_MS 15
 
-enum job_state
-{
-  JOB_WAITING, /* an attempt is with a home */
-  JOB_HOLDING  /* the next attempt waits for its time */
-};
-
-/* A caller's request in flight.  */
-struct job
-{
-  struct cds_list_head link;
-  void *tag;
-  enum job_state state;
-  bool resolving; /* the answer was lost: only the ledger can tell now */
-  bool in_doubt;  /* an earlier attempt of a write may have run */
-  bool may_repeat;
-  bool undeclared;
-  struct wire_request *request; /* of the latest attempt */
-  char vm[DCL_NAME_MAX + 1];
-  uint32_t instance;
-  int64_t arrived_us;
-  int64_t deadline_us;
-  int64_t wake_us;
-  uint32_t tried;
-  uint32_t turn;
-  uint32_t home_turn;
-  uint32_t holds;
-  enum rsn last;  /* why the last attempt did not run */
-  enum rsn saved; /* the refusal to report once the id is void */
-  char *saved_detail;
-};
-
-struct entry
-{
-  struct ent_options options;
-  const struct dcl_set *set;
-  struct cds_list_head jobs;
-  GHashTable *by_id;   /* request id of the attempt -> struct job * */
-  GHashTable *beliefs; /* database -> struct rte_belief * */
-  uint64_t next_id;
-  uint32_t n_jobs;
-  uint32_t turn;
-  double retry_tokens;
-  bool draining;
-};
-
-static void attempt (struct entry *e, struct job *job, int64_t now_us);
-
 struct entry *
 ent_new (const struct ent_options *options)
 {
@@ -76,7 +24,7 @@
   e->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   e->beliefs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   e->next_id = options->first_id;
-  e->retry_tokens = RETRY_TOKENS_MAX / 2;
+  e->retry_tokens = ENT_RETRY_TOKENS_MAX / 2;
   return e;
 }
 
@@ -132,8 +80,8 @@
   return e->set ? dcl_find_database (e->set, job->request->database) : NULL;
 }
 
-static void
-give_answer (struct entry *e, void *tag, const struct ent_answer *answer)
+void
+ent_give_answer (struct entry *e, void *tag, const struct ent_answer *answer)
 {
   atomic_fetch_add (&e->options.counters->reason[answer->reason], 1);
   e->options.answer (e->options.answer_arg, tag, answer);
@@ -156,10 +104,9 @@
              answer->from_replica ? CTR_READS_REPLICA : CTR_READS_PRIMARY, 1);
 }
 
-/* Answers and frees JOB.  REPLY may be NULL.  */
-static void
-finish (struct entry *e, struct job *job, enum rsn reason,
-        const struct wire_reply *reply, int64_t now_us)
+void
+ent_finish (struct entry *e, struct job *job, enum rsn reason,
+            const struct wire_reply *reply, int64_t now_us)
 {
   struct ent_answer answer = { 0 };
   struct wire_request *request = wire_request_ref (job->request);
@@ -186,23 +133,11 @@
     }
   count_service (e, job, &answer, now_us);
   free_job (e, job);
-  give_answer (e, tag, &answer);
+  ent_give_answer (e, tag, &answer);
   g_free (detail);
   wire_request_unref (request);
 }
 
-/* An answer to a call that never became a job.  */
-static void
-refuse (struct entry *e, const struct ent_call *call, enum rsn reason)
-{
-  struct ent_answer answer = { 0 };
-
-  answer.reason = reason;
-  answer.rows = answer.detail = answer.transaction = "";
-  answer.database = call->database;
-  give_answer (e, call->tag, &answer);
-}
-
 static void
 hold (struct job *job, int64_t now_us)
 {
@@ -290,20 +225,20 @@
     {
       job->resolving = true;
       job->request->op = WIRE_RESOLVE;
-      attempt (e, job, now_us);
+      ent_attempt (e, job, now_us);
     }
   else
-    finish (e, job, RSN_TRANSACTION_UNKNOWN, NULL, now_us);
+    ent_finish (e, job, RSN_TRANSACTION_UNKNOWN, NULL, now_us);
 }
 
-static bool
-is_conversation_step (enum wire_op op)
+bool
+ent_is_step (enum wire_op op)
 {
   return op == WIRE_STATEMENT || op == WIRE_COMMIT || op == WIRE_ROLLBACK;
 }
 
-static void
-attempt (struct entry *e, struct job *job, int64_t now_us)
+void
+ent_attempt (struct entry *e, struct job *job, int64_t now_us)
 {
   const struct dcl_database *db = database_of (e, job);
   struct rte_need need = { 0 };
@@ -311,15 +246,16 @@
   const char *vm;
   uint32_t i;
 
-  if (is_conversation_step (job->request->op))
+  if (ent_is_step (job->request->op))
     {
       attempt_conversation (e, job, now_us);
       return;
     }
   if (!db)
     {
-      finish (e, job, job->resolving ? RSN_ANSWER_LOST : RSN_UNKNOWN_DATABASE,
-              NULL, now_us);
+      ent_finish (e, job,
+                  job->resolving ? RSN_ANSWER_LOST : RSN_UNKNOWN_DATABASE,
+                  NULL, now_us);
       return;
     }
   need.read = job->request->read;
@@ -356,7 +292,7 @@
 retry_now (struct entry *e, struct job *job, int64_t now_us)
 {
   renew_request (e, job);
-  attempt (e, job, now_us);
+  ent_attempt (e, job, now_us);
 }
 
 static void
@@ -375,7 +311,7 @@
   job->tried = 0;
   job->request->op = WIRE_RESOLVE;
   count_retry (e, RETRY_LEDGER_LOOKUP);
-  attempt (e, job, now_us);
+  ent_attempt (e, job, now_us);
 }
 
 /* Whether the attempt ran is not known.  */
@@ -386,7 +322,7 @@
   struct wire_request *r = job->request;
 
   if (e->options.unsafe_not_run && !r->read)
-    finish (e, job, RSN_NO_CONNECTION, NULL, now_us);
+    ent_finish (e, job, RSN_NO_CONNECTION, NULL, now_us);
   else if (job->resolving)
     retry_later (e, job, now_us);
   else if (r->ledger && (r->op == WIRE_RUN || r->op == WIRE_COMMIT))
@@ -398,9 +334,9 @@
     }
   else if (r->op == WIRE_BEGIN)
     /* An orphaned conversation is rolled back by its home.  */
-    finish (e, job, RSN_NO_CONNECTION, NULL, now_us);
+    ent_finish (e, job, RSN_NO_CONNECTION, NULL, now_us);
   else
-    finish (e, job, RSN_ANSWER_LOST, NULL, now_us);
+    ent_finish (e, job, RSN_ANSWER_LOST, NULL, now_us);
 }
 
 /* The instance refused; others may not.  */
@@ -415,12 +351,12 @@
   job->tried |= 1U << job->instance;
   if ((job->tried & all) == all)
     {
-      finish (e, job, reason, NULL, now_us);
+      ent_finish (e, job, reason, NULL, now_us);
       return;
     }
   if (costs && !spend_retry (e, cause))
     {
-      finish (e, job, RSN_RETRY_BUDGET_SPENT, NULL, now_us);
+      ent_finish (e, job, RSN_RETRY_BUDGET_SPENT, NULL, now_us);
       return;
     }
   if (!costs)
@@ -464,11 +400,12 @@
     case RSN_OK:
     case RSN_REQUEST_ID_REUSED:
       g_clear_pointer (&job->saved_detail, g_free);
-      finish (e, job, reply->reason, reply, now_us);
+      ent_finish (e, job, reply->reason, reply, now_us);
       break;
     case RSN_REQUEST_VOIDED:
-      finish (e, job, job->saved != RSN_OK ? job->saved : RSN_REQUEST_VOIDED,
-              reply, now_us);
+      ent_finish (e, job,
+                  job->saved != RSN_OK ? job->saved : RSN_REQUEST_VOIDED,
+                  reply, now_us);
       break;
     default:
       if (reply->reason != RSN_NOT_HOME)
@@ -504,27 +441,27 @@
       if (r->read && !r->fresh && r->op == WIRE_RUN)
         try_others (e, job, reason, RETRY_OVERLOADED_INSTANCE, true, now_us);
       else
-        finish (e, job, reason, reply, now_us);
+        ent_finish (e, job, reason, reply, now_us);
       break;
     case RSN_NO_CONNECTION:
       job->last = reason;
       if (r->op != WIRE_RUN)
-        finish (e, job, reason, reply, now_us);
+        ent_finish (e, job, reason, reply, now_us);
       else if (spend_retry (e, RETRY_CONNECTION_LOST))
         retry_later (e, job, now_us);
       else
-        finish (e, job, RSN_RETRY_BUDGET_SPENT, reply, now_us);
+        ent_finish (e, job, RSN_RETRY_BUDGET_SPENT, reply, now_us);
       break;
     case RSN_NOT_PRIMARY:
     case RSN_NO_PRIMARY:
     case RSN_NOT_HOME:
-      if (is_conversation_step (r->op))
-        finish (e, job, RSN_ROLLED_BACK, reply, now_us);
+      if (ent_is_step (r->op))
+        ent_finish (e, job, RSN_ROLLED_BACK, reply, now_us);
       else
         follow_move (e, job, reason, now_us);
       break;
     default:
-      finish (e, job, reason, reply, now_us);
+      ent_finish (e, job, reason, reply, now_us);
       break;
     }
 }
@@ -561,7 +498,7 @@
   else if (reply->reason == RSN_ANSWER_LOST)
     on_lost (e, job, RETRY_CONNECTION_LOST, now_us);
   else if (reply->reason == RSN_OK || reply->reason == RSN_UNCONFIRMED)
-    finish (e, job, reply->reason, reply, now_us);
+    ent_finish (e, job, reply->reason, reply, now_us);
   else
     on_refused (e, job, reply, now_us);
 }
@@ -604,10 +541,10 @@
 expire (struct entry *e, struct job *job, int64_t now_us)
 {
   if (job->state == JOB_WAITING || job->resolving)
-    finish (e, job, RSN_ANSWER_LOST, NULL, now_us);
+    ent_finish (e, job, RSN_ANSWER_LOST, NULL, now_us);
   else
-    finish (e, job, job->last != RSN_OK ? job->last : RSN_DEADLINE_PASSED,
-            NULL, now_us);
+    ent_finish (e, job, job->last != RSN_OK ? job->last : RSN_DEADLINE_PASSED,
+                NULL, now_us);
 }
 
 void
@@ -622,7 +559,7 @@
       if (now_us >= job->deadline_us)
         expire (e, job, now_us);
       else if (job->state == JOB_HOLDING && now_us >= job->wake_us)
-        attempt (e, job, now_us);
+        ent_attempt (e, job, now_us);
     }
 }
 
@@ -647,150 +584,3 @@
 {
   return e->n_jobs;
 }
-
-static uint64_t
-digest_of (const struct ent_call *call)
-{
-  XXH64_hash_t digest = 0;
-
-  for (uint32_t i = 0; i < call->n_statements; i++)
-    {
-      const struct wire_statement *s = &call->statements[i];
-
-      digest = XXH3_64bits_withSeed (s->text, strlen (s->text), digest + 1);
-      for (uint32_t a = 0; a < s->n_args; a++)
-        digest = s->args[a] ? XXH3_64bits_withSeed (
-                     s->args[a], strlen (s->args[a]), digest + 1)
-                            : digest + 2;
-    }
-  /* The ledger stores it as a signed 64-bit number.  */
-  return digest >> 1;
-}
-
-static void
-replace (char **field, const char *text)
-{
-  g_free (*field);
-  *field = g_strdup (text);
-}
-
-/* Sets what the declaration of the kind says; an undeclared kind gets the
-   strictest rules.  */
-static void
-apply_kind (struct entry *e, struct job *job, const struct ent_call *call)
-{
-  const struct dcl_kind *kind = dcl_find_kind (e->set, job->request->kind);
-  struct wire_request *r = job->request;
-  struct tok_mark floor = tok_find (&call->token, r->database);
-  int64_t deadline_ms = kind ? kind->deadline_ms : DCL_DEADLINE_DEFAULT_MS;
-
-  if (!kind)
-    {
-      ctr_add (e->options.counters, CTR_UNDECLARED_KIND, 1);
-      job->undeclared = true;
-    }
-  r->read = kind && kind->read;
-  r->max_age_ms = r->read ? kind->max_age_ms : 0;
-  r->fresh = r->max_age_ms == 0;
-  r->ledger = (!kind || kind->never_repeat) && r->request_id[0] != '\0';
-  job->may_repeat = kind && !kind->never_repeat;
-  r->min_term = floor.term;
-  r->min_position = floor.position;
-  if (call->deadline_ms > 0 && call->deadline_ms < deadline_ms)
-    deadline_ms = call->deadline_ms;
-  job->deadline_us = job->arrived_us + deadline_ms * MS_US;
-}
-
-/* A conversation's id: vm~database~instance~kind~request id~serial.  */
-static bool
-apply_transaction (struct job *job, const struct ent_call *call)
-{
-  char **parts = g_strsplit (call->transaction, "~", 7);
-  bool ok = g_strv_length (parts) == 6 && strlen (parts[0]) < sizeof job->vm;
-
-  if (ok)
-    {
-      g_strlcpy (job->vm, parts[0], sizeof job->vm);
-      replace (&job->request->database, parts[1]);
-      replace (&job->request->instance, parts[2]);
-      replace (&job->request->kind, parts[3]);
-      replace (&job->request->request_id, parts[4]);
-      replace (&job->request->transaction, call->transaction);
-    }
-  g_strfreev (parts);
-  return ok;
-}
-
-/* Why the call cannot become a job, RSN_OK when it can.  */
-static enum rsn
-check_call (const struct entry *e, const struct ent_call *call,
-            int64_t wall_ms)
-{
-  const struct dcl_database *db;
-  const struct dcl_kind *kind;
-
-  if (is_conversation_step (call->op))
-    return e->set ? RSN_OK : RSN_NO_CONFIGURATION;
-  if (e->draining)
-    return RSN_SHUTTING_DOWN;
-  if (!e->set)
-    return RSN_NO_CONFIGURATION;
-  db = dcl_find_database (e->set, call->database);
-  if (!db)
-    return RSN_UNKNOWN_DATABASE;
-  if (db->leaving)
-    return RSN_DATABASE_LEAVING;
-  if (e->n_jobs >= e->options.jobs_max)
-    return RSN_TOO_MANY_REQUESTS;
-  kind = dcl_find_kind (e->set, call->kind);
-  if (call->request_id[0] != '\0' || (kind && kind->never_repeat))
-    return rid_check (call->request_id, wall_ms);
-  return RSN_OK;
-}
-
-static struct job *
-new_job (struct entry *e, const struct ent_call *call, int64_t now_us)
-{
-  struct job *job = g_new0 (struct job, 1);
-
-  job->tag = call->tag;
-  job->arrived_us = now_us;
-  job->turn = e->turn++;
-  job->request = wire_request_new ();
-  job->request->id = ++e->next_id;
-  job->request->op = call->op;
-  replace (&job->request->database, call->database);
-  replace (&job->request->kind, call->kind);
-  replace (&job->request->request_id, call->request_id);
-  cds_list_add_tail (&job->link, &e->jobs);
-  g_hash_table_insert (e->by_id, &job->request->id, job);
-  e->n_jobs++;
-  return job;
-}
-
-void
-ent_submit (struct entry *e, const struct ent_call *call, int64_t now_us,
-            int64_t wall_ms)
-{
-  enum rsn reason = check_call (e, call, wall_ms);
-  struct job *job;
-
-  if (reason != RSN_OK)
-    {
-      refuse (e, call, reason);
-      return;
-    }
-  job = new_job (e, call, now_us);
-  if (is_conversation_step (call->op) && !apply_transaction (job, call))
-    {
-      job->deadline_us = now_us;
-      finish (e, job, RSN_TRANSACTION_UNKNOWN, NULL, now_us);
-      return;
-    }
-  wire_request_set_statements (job->request, call->statements,
-                               call->n_statements);
-  apply_kind (e, job, call);
-  job->request->digest = digest_of (call);
-  e->retry_tokens = MIN (e->retry_tokens + RETRY_EARN, RETRY_TOKENS_MAX);
-  attempt (e, job, now_us);
-}
--- /dev/null
+++ b/packages/core/entryint.h
@@ -0,0 +1,69 @@
+/* Internals shared by entry.c and entrycall.c.  */
+#ifndef CB_ENTRYINT_H
+#define CB_ENTRYINT_H
+
+#include "entry.h"
+
+#include <urcu/list.h>
+
+/* A retry costs one token; so many can be saved up.  */
+#define ENT_RETRY_TOKENS_MAX 100.0
+
+enum job_state
+{
+  JOB_WAITING, /* an attempt is with a home */
+  JOB_HOLDING  /* the next attempt waits for its time */
+};
+
+/* A caller's request in flight.  */
+struct job
+{
+  struct cds_list_head link;
+  void *tag;
+  enum job_state state;
+  bool resolving; /* the answer was lost: only the ledger can tell now */
+  bool in_doubt;  /* an earlier attempt of a write may have run */
+  bool may_repeat;
+  bool undeclared;
+  struct wire_request *request; /* of the latest attempt */
+  char vm[DCL_NAME_MAX + 1];
+  uint32_t instance;
+  int64_t arrived_us;
+  int64_t deadline_us;
+  int64_t wake_us;
+  uint32_t tried;
+  uint32_t turn;
+  uint32_t home_turn;
+  uint32_t holds;
+  enum rsn last;  /* why the last attempt did not run */
+  enum rsn saved; /* the refusal to report once the id is void */
+  char *saved_detail;
+};
+
+struct entry
+{
+  struct ent_options options;
+  const struct dcl_set *set;
+  struct cds_list_head jobs;
+  GHashTable *by_id;   /* request id of the attempt -> struct job * */
+  GHashTable *beliefs; /* database -> struct rte_belief * */
+  uint64_t next_id;
+  uint32_t n_jobs;
+  uint32_t turn;
+  double retry_tokens;
+  bool draining;
+};
+
+/* entry.c: a request's attempts.  */
+/* Sends the next attempt of JOB, or lets it wait.  */
+void ent_attempt (struct entry *e, struct job *job, int64_t now_us);
+/* Answers and frees JOB.  REPLY may be NULL.  */
+void ent_finish (struct entry *e, struct job *job, enum rsn reason,
+                 const struct wire_reply *reply, int64_t now_us);
+/* Counts and gives ANSWER.  */
+void ent_give_answer (struct entry *e, void *tag,
+                      const struct ent_answer *answer);
+/* True for the steps inside a conversation.  */
+bool ent_is_step (enum wire_op op);
+
+#endif
--- a/packages/proxy/engine.c
+++ b/packages/proxy/engine.c
@@ -418,6 +418,7 @@
     {
       g_message ("stopping: signal %d", (int)stop_signal);
       node_leave (e->node, now_us);
+      http_close_connections (e->http);
       enter_phase (e, STOP_NOTICE, now_us);
     }
   else if (e->phase == STOP_NOTICE
