--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -161,5 +161,42 @@
 check "metrics" "$(curl -s "http://127.0.0.1:$((FLEET_BASE + 300))/metrics" | grep -c '^cassiabay_answers_total')" "$(grep -c '^R (' packages/core/reasons.def)"
 check "wrong settings" "$("$BUILD/packages/proxy/cassiabayd" --check --config "$DIR/bad.yaml" 2>&1 | grep -c 'bad.yaml:')" '[1-9]*'
 check "right settings" "$("$BUILD/packages/proxy/cassiabayd" --check --config "$DIR/vm-1.yaml")" '*valid'
+fleet_stop
+
+# TLS, bearer tokens and client certificates.  The sanitizers' builds cannot
+# serve TLS: packages/proxy/tlsfix.c is not in them.
+if [ "${SKIP_TLS:-}" != 1 ]; then
+  for name in server clerk-1; do
+    openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj "/CN=$name" \
+      -keyout "$DIR/$name.key" -out "$DIR/$name.crt" > /dev/null 2>&1
+  done
+  cat "$DIR/server.crt" "$DIR/server.key" > "$DIR/server.pem"
+  cat > "$DIR/access.yaml" <<ACCESS
+version: 1
+callers:
+  - {name: shop, token_hash: "$(echo secret | $CTL hash-token)", databases: [orders]}
+  - {name: clerk, certificate_name: clerk-1, databases: ["*"]}
+ACCESS
+  EXTRA_CALLERS="
+  tls_file: $DIR/server.pem
+  client_ca_file: $DIR/clerk-1.crt
+  access_file: $DIR/access.yaml"
+  fleet_start 1 || echo "the TLS proxy did not start"
+  fleet_await_primaries
+  sleep 1
+  tls () { # database curl-options...
+    local database=$1
+    shift
+    curl -sk "$@" "https://127.0.0.1:$FLEET_BASE/v1/run" \
+      -d "$(body "$database" order-status "" "$READ" '"a"')"
+  }
+  check "TLS without a name" "$(tls orders)" '*unauthenticated*'
+  check "a bearer token" "$(tls orders -H 'Authorization: Bearer secret')" '*"outcome":"done"*'
+  check "a wrong token" "$(tls orders -H 'Authorization: Bearer guess')" '*unauthenticated*'
+  check "a token for another database" "$(tls bins -H 'Authorization: Bearer secret')" '*forbidden*'
+  check "a client certificate" "$(tls bins --cert "$DIR/clerk-1.crt" --key "$DIR/clerk-1.key")" '*"outcome":"done"*'
+  cmp -s <(echo | openssl s_client -connect "127.0.0.1:$FLEET_BASE" 2> /dev/null | openssl x509 2> /dev/null) "$DIR/server.crt"
+  check "the configured certificate" $? 0
+fi
 echo "$PASSED passed, $FAILED failed"
 [ "$FAILED" = 0 ]
