--- a/packages/core/admit.c
+++ b/packages/core/admit.c
@@ -79,6 +79,12 @@
   return MIN (fair, all) / a->options.slots + service;
 }
 
+int64_t
+adm_service_us (const struct adm *a, const struct adm_item *item)
+{
+  return a->kinds[item->kind].service_us;
+}
+
 /* A newly active kind starts level with the others: time it left unused
    earlier does not entitle it to a burst.  */
 static void
--- a/packages/core/admit.h
+++ b/packages/core/admit.h
@@ -53,6 +53,8 @@
 /* Ends the run of a popped ITEM that held its slot for SERVICE_US.  */
 void adm_finish (struct adm *a, const struct adm_item *item,
                  int64_t service_us);
+/* Moving average of the slot time of ITEM's kind, in microseconds.  */
+int64_t adm_service_us (const struct adm *a, const struct adm_item *item);
 /* Expected wait and service of one more request of KIND, in microseconds.  */
 int64_t adm_estimate_us (const struct adm *a, const char *kind);
 
--- a/packages/core/homeop.c
+++ b/packages/core/homeop.c
@@ -214,8 +214,14 @@
       op = caa_container_of (item, struct home_op, item);
       op->state = OP_CONFIRMING;
       /* The group may have changed while the request waited.  */
-      reason = op->deadline_us <= now_us ? RSN_DEADLINE_PASSED
-                                         : hop_precheck (h, op, now_us);
+      reason = hop_precheck (h, op, now_us);
+      if (op->deadline_us <= now_us)
+        reason = RSN_DEADLINE_PASSED;
+      else if (reason == RSN_OK && !inst->adm.options.unlimited
+               && op->deadline_us
+                      <= now_us + adm_service_us (&inst->adm, item))
+        /* Started now it would end unknown; not started it did not run.  */
+        reason = RSN_DEADLINE_UNMEETABLE;
       if (reason != RSN_OK)
         {
           inst->adm.running--;
