--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .PHONY: all deps build demo test check bench bench-fleet explore fuzz sanitize slopes capacity replay experiments
 
-SOURCES = $(wildcard packages/*/*.c tests/*.c tests/*/*.c)
+SOURCES = $(wildcard packages/*/*.c bench/*.c tests/*.c tests/*/*.c)
 FORMATTED = $(SOURCES) $(wildcard packages/*/*.h tests/*.h tests/*/*.h \
   tests/*/*.cc)
 # Loop macros of libraries, simplified for cppcheck.
@@ -45,10 +45,10 @@
 	echo $(SOURCES) | xargs -n 4 -P 6 clang-tidy -p $(BUILD) --quiet
 
 bench-fleet: build
-	BUILD=$(BUILD) DEPLOYMENT=$(or $(DEPLOYMENT),imena) bash tests/bench_fleet.sh
+	BUILD=$(BUILD) DEPLOYMENT=$(or $(DEPLOYMENT),imena) bash bench/bench_fleet.sh
 
 bench: build
-	BUILD=$(BUILD) bash tests/bench.sh
+	BUILD=$(BUILD) bash bench/bench.sh
 
 # RUNS inputs for each parser, by libFuzzer.
 RUNS ?= 40000
@@ -80,11 +80,11 @@
 # Measures the slopes of the code into docs/slopes.txt; `make bench` and `make
 # bench-fleet` have the others, merged by the same rule: the latest value wins.
 slopes: build
-	$(BUILD)/tests/slopes > $(BUILD)/slopes.out
-	bash tests/merge_slopes.sh $(BUILD)/slopes.out
+	$(BUILD)/bench/slopes > $(BUILD)/slopes.out
+	bash bench/merge_slopes.sh $(BUILD)/slopes.out
 
 capacity:
-	awk -f tests/capacity.awk docs/slopes.txt > docs/CAPACITY.md
+	awk -f bench/capacity.awk docs/slopes.txt > docs/CAPACITY.md
 
 # The one-hour traces of both workloads.
 replay: build
@@ -93,4 +93,4 @@
 
 # What each decision buys, against baselines: a table for DEPLOYMENT.
 experiments: build
-	BUILD=$(BUILD) DEPLOYMENT=$(or $(DEPLOYMENT),imena) bash tests/experiments.sh
+	BUILD=$(BUILD) DEPLOYMENT=$(or $(DEPLOYMENT),imena) bash bench/experiments.sh
