--- a/bench/bench_fleet.sh
+++ b/bench/bench_fleet.sh
@@ -7,7 +7,7 @@
 . tests/fleet.sh
 DEPLOYMENT=${DEPLOYMENT:-imena}
 ROUNDS=${ROUNDS:-10}
-NODES=${NODES-3 6 9 18 36 72}
+NODES=${NODES-3 6 9 18 36 72 144}
 RATE=${RATE:-150}
 FLEET_BASE=${FLEET_BASE_BENCH:-25000}
 DIR=$(mktemp -d /tmp/cassiabay.XXXXXX)
