--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -7,9 +7,8 @@
     "groups": [{"slots": n, "connections": n, "instances":
       [{"name": s, "address": "ip:port", "data_centre": s}, ...]}, ...]}
    delay_ms is one way between data centres.  Control lines: see control.  */
-#include "decl.h"
-#include "loop.h"
-#include "minisql.h"
+#include "pgwire.h"
+#include "upstreamint.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -27,87 +26,10 @@
 #define SSL_REQUEST 80877103
 #define GSS_REQUEST 80877104
 #define CANCEL_REQUEST 80877102
-#define ARGS_MAX 256
 /* Replication is looked at this often.  */
 #define TICK_US 500
 
-struct instance;
-
-/* Bytes on their way in or out.  */
-struct packet
-{
-  int64_t due_us;
-  GByteArray *bytes;
-};
-
-enum conn_phase
-{
-  PHASE_STARTUP,
-  PHASE_OPENING, /* waits for the opening time */
-  PHASE_READY
-};
-
-struct conn
-{
-  struct loop_source source;
-  struct instance *instance;
-  enum conn_phase phase;
-  int64_t ready_us;
-  int64_t delay_us;
-  char centre[64];
-  GByteArray *in;
-  GByteArray *out;
-  GQueue arriving; /* struct packet * */
-  GQueue leaving;
-  struct grp_session session;
-  char *sql; /* parsed, not yet executed */
-  char *args[ARGS_MAX];
-  uint32_t n_args;
-  bool skipping; /* an error occurred: until the next sync */
-  bool has_slot;
-  bool waiting;    /* for a slot */
-  int64_t busy_us; /* the statement runs until then, 0: none */
-  bool silent;     /* nothing more is heard of this connection */
-  bool closed;
-  bool counted;
-};
-
-struct group
-{
-  struct grp model;
-  const char *names[DCL_INSTANCES_MAX];
-  int32_t slots;
-  int32_t connections;
-};
-
-struct instance
-{
-  struct loop_source listener;
-  struct group *group;
-  uint32_t index;
-  char *name;
-  char *address;
-  char *centre;
-  int32_t n_conns;
-  int32_t running;
-  GQueue waiting;       /* struct conn *, for a slot */
-  int64_t lose_commits; /* answers to lose after committing */
-  int64_t lose_before;  /* connections to lose instead of committing */
-  bool cut;             /* unreachable from other data centres */
-};
-
-static struct
-{
-  struct loop loop;
-  GPtrArray *groups;
-  GPtrArray *instances;
-  GPtrArray *conns;
-  int64_t service_us;
-  int64_t open_us;
-  int64_t delay_us;
-  int64_t now_us;
-  struct loop_source control;
-} server;
+struct server server;
 
 static volatile sig_atomic_t stopping;
 
@@ -119,127 +41,24 @@
   stopping = signal;
 }
 
-static struct grp_instance *
-model_of (const struct instance *i)
+struct grp_instance *
+ups_model_of (const struct instance *i)
 {
   return &i->group->model.instances[i->index];
 }
 
-static void
-put_u32 (GByteArray *out, uint32_t value)
-{
-  uint32_t n = htonl (value);
-
-  g_byte_array_append (out, (guint8 *)&n, 4);
-}
-
-static void
-put_u16 (GByteArray *out, uint32_t value)
-{
-  uint16_t n = htons ((uint16_t)value);
-
-  g_byte_array_append (out, (guint8 *)&n, 2);
-}
-
-static void
-put_text (GByteArray *out, const char *text)
-{
-  g_byte_array_append (out, (const guint8 *)text, (guint)strlen (text) + 1);
-}
-
-/* Starts a message; end_message sets its length.  */
-static guint
-begin_message (GByteArray *out, char type)
-{
-  guint at = out->len + 1;
-
-  g_byte_array_append (out, (guint8 *)&type, 1);
-  put_u32 (out, 0);
-  return at;
-}
-
-static void
-end_message (GByteArray *out, guint at)
-{
-  uint32_t n = htonl (out->len - at);
-
-  memcpy (out->data + at, &n, 4);
-}
-
-static void
-put_empty (GByteArray *out, char type)
-{
-  end_message (out, begin_message (out, type));
-}
-
-static void
-put_error (GByteArray *out, const char *state, const char *message)
-{
-  guint at = begin_message (out, 'E');
-
-  put_text (out, "SERROR");
-  g_byte_array_append (out, (guint8 *)"C", 1);
-  put_text (out, state);
-  g_byte_array_append (out, (guint8 *)"M", 1);
-  put_text (out, message);
-  g_byte_array_append (out, (guint8 *)"", 1);
-  end_message (out, at);
-}
-
 static void
 put_ready (struct conn *c)
 {
-  guint at = begin_message (c->out, 'Z');
+  guint at = pgw_begin_message (c->out, 'Z');
   const char *state = c->session.failed ? "E" : c->session.open ? "T" : "I";
 
   g_byte_array_append (c->out, (const guint8 *)state, 1);
-  end_message (c->out, at);
+  pgw_end_message (c->out, at);
 }
 
-static void
-put_columns (GByteArray *out, const struct sql_result *r)
-{
-  guint at;
-
-  if (r->n_columns == 0)
-    {
-      put_empty (out, 'n');
-      return;
-    }
-  at = begin_message (out, 'T');
-  put_u16 (out, r->n_columns);
-  for (uint32_t i = 0; i < r->n_columns; i++)
-    {
-      put_text (out, r->columns[i]);
-      put_u32 (out, 0);
-      put_u16 (out, 0);
-      put_u32 (out, 25);
-      put_u16 (out, 0xffff);
-      put_u32 (out, 0xffffffff);
-      put_u16 (out, 0);
-    }
-  end_message (out, at);
-}
-
-static void
-put_row (GByteArray *out, const struct sql_result *r, char **row)
-{
-  guint at = begin_message (out, 'D');
-
-  put_u16 (out, r->n_columns);
-  for (uint32_t i = 0; i < r->n_columns; i++)
-    if (!row[i])
-      put_u32 (out, 0xffffffff);
-    else
-      {
-        put_u32 (out, (uint32_t)strlen (row[i]));
-        g_byte_array_append (out, (guint8 *)row[i], (guint)strlen (row[i]));
-      }
-  end_message (out, at);
-}
-
-static void
-close_conn (struct conn *c)
+void
+ups_close_conn (struct conn *c)
 {
   struct instance *i = c->instance;
 
@@ -294,7 +113,7 @@
 {
   const struct instance *i = c->instance;
 
-  return c->silent || model_of (i)->paused
+  return c->silent || ups_model_of (i)->paused
          || (i->cut && strcmp (c->centre, i->centre) != 0);
 }
 
@@ -308,7 +127,7 @@
       if (n <= 0)
         {
           if (errno != EAGAIN)
-            close_conn (c);
+            ups_close_conn (c);
           /* XXX: a full socket buffer loses the rest; answers are small.  */
           return;
         }
@@ -349,7 +168,7 @@
   if (commit && writes && i->lose_before > 0)
     {
       i->lose_before--;
-      close_conn (c);
+      ups_close_conn (c);
       return;
     }
   sql_run (&c->session, i->group->names, c->sql, (const char *const *)c->args,
@@ -357,21 +176,21 @@
   if (commit && writes && !r.state && i->lose_commits > 0)
     {
       i->lose_commits--;
-      close_conn (c);
+      ups_close_conn (c);
     }
   else if (r.state)
     {
-      put_error (c->out, r.state, r.message ? r.message : "failed");
+      pgw_put_error (c->out, r.state, r.message ? r.message : "failed");
       c->skipping = true;
     }
   else
     {
-      put_columns (c->out, &r);
+      pgw_put_columns (c->out, &r);
       for (uint32_t k = 0; k < r.rows->len; k++)
-        put_row (c->out, &r, g_ptr_array_index (r.rows, k));
-      guint at = begin_message (c->out, 'C');
-      put_text (c->out, r.tag);
-      end_message (c->out, at);
+        pgw_put_row (c->out, &r, g_ptr_array_index (r.rows, k));
+      guint at = pgw_begin_message (c->out, 'C');
+      pgw_put_text (c->out, r.tag);
+      pgw_end_message (c->out, at);
     }
   sql_clear (&r);
   clear_statement (c);
@@ -408,24 +227,6 @@
   c->busy_us = server.now_us + service;
 }
 
-static uint32_t
-read_u32 (const guint8 *data)
-{
-  uint32_t n;
-
-  memcpy (&n, data, 4);
-  return ntohl (n);
-}
-
-static uint32_t
-read_u16 (const guint8 *data)
-{
-  uint16_t n;
-
-  memcpy (&n, data, 2);
-  return ntohs (n);
-}
-
 static void
 on_parse (struct conn *c, const guint8 *body)
 {
@@ -433,7 +234,7 @@
 
   clear_statement (c);
   c->sql = g_strdup (name + strlen (name) + 1);
-  put_empty (c->out, '1');
+  pgw_put_empty (c->out, '1');
 }
 
 static void
@@ -443,19 +244,19 @@
   uint32_t n;
 
   at += strlen ((const char *)at) + 1;
-  at += 2 + 2 * read_u16 (at);
-  n = read_u16 (at);
+  at += 2 + 2 * pgw_read_u16 (at);
+  n = pgw_read_u16 (at);
   at += 2;
   for (uint32_t k = 0; k < n && k < ARGS_MAX; k++)
     {
-      int32_t len = (int32_t)read_u32 (at);
+      int32_t len = (int32_t)pgw_read_u32 (at);
 
       at += 4;
       c->args[k] = len < 0 ? NULL : g_strndup ((const char *)at, (gsize)len);
       at += len < 0 ? 0 : len;
       c->n_args = k + 1;
     }
-  put_empty (c->out, '2');
+  pgw_put_empty (c->out, '2');
 }
 
 static void
@@ -479,7 +280,7 @@
       put_ready (c);
       break;
     case 'X':
-      close_conn (c);
+      ups_close_conn (c);
       break;
     default:
       break;
@@ -489,11 +290,11 @@
 static void
 put_parameter (struct conn *c, const char *name, const char *value)
 {
-  guint at = begin_message (c->out, 'S');
+  guint at = pgw_begin_message (c->out, 'S');
 
-  put_text (c->out, name);
-  put_text (c->out, value);
-  end_message (c->out, at);
+  pgw_put_text (c->out, name);
+  pgw_put_text (c->out, value);
+  pgw_end_message (c->out, at);
 }
 
 static void
@@ -505,14 +306,14 @@
   c->phase = PHASE_READY;
   if (i->n_conns > i->group->connections)
     {
-      put_error (c->out, "53300", "too many connections");
+      pgw_put_error (c->out, "53300", "too many connections");
       flush (c);
-      close_conn (c);
+      ups_close_conn (c);
       return;
     }
-  at = begin_message (c->out, 'R');
-  put_u32 (c->out, 0);
-  end_message (c->out, at);
+  at = pgw_begin_message (c->out, 'R');
+  pgw_put_u32 (c->out, 0);
+  pgw_end_message (c->out, at);
   put_parameter (c, "server_version", "15.0");
   put_parameter (c, "client_encoding", "UTF8");
   put_parameter (c, "standard_conforming_strings", "on");
@@ -564,14 +365,14 @@
 
   if (c->in->len < 8)
     return false;
-  len = read_u32 (c->in->data);
+  len = pgw_read_u32 (c->in->data);
   if (c->in->len < len)
     return false;
-  code = read_u32 (c->in->data + 4);
+  code = pgw_read_u32 (c->in->data + 4);
   if (code == SSL_REQUEST || code == GSS_REQUEST)
     write_now (c, (const guint8 *)"N", 1);
   else if (code == CANCEL_REQUEST)
-    close_conn (c);
+    ups_close_conn (c);
   else
     read_startup (c, c->in->data + 4, len - 4);
   if (!c->closed)
@@ -590,7 +391,7 @@
     return process_startup (c);
   if (c->phase != PHASE_READY || c->in->len < 5)
     return false;
-  len = read_u32 (c->in->data + 1);
+  len = pgw_read_u32 (c->in->data + 1);
   if (c->in->len < len + 1)
     return false;
   type = (char)c->in->data[0];
@@ -625,7 +426,7 @@
   n = recv (c->source.fd, chunk, sizeof chunk, 0);
   if (n == 0 || (n < 0 && errno != EAGAIN))
     {
-      close_conn (c);
+      ups_close_conn (c);
       return;
     }
   if (n < 0)
@@ -698,183 +499,6 @@
   return true;
 }
 
-/* Closes all connections to INSTANCE with a reset, as a dead process's.  */
-static void
-reset_conns (struct instance *i)
-{
-  struct linger now = { 1, 0 };
-
-  for (uint32_t k = 0; k < server.conns->len; k++)
-    {
-      struct conn *c = g_ptr_array_index (server.conns, k);
-
-      if (c->instance != i || c->closed)
-        continue;
-      setsockopt (c->source.fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-      close_conn (c);
-    }
-}
-
-static void
-kill_instance (struct instance *i)
-{
-  grp_kill (&i->group->model, i->index);
-  reset_conns (i);
-  if (i->listener.fn)
-    {
-      loop_remove (&server.loop, &i->listener);
-      close (i->listener.fd);
-    }
-}
-
-static void
-silence_conns (struct instance *i)
-{
-  for (uint32_t k = 0; k < server.conns->len; k++)
-    {
-      struct conn *c = g_ptr_array_index (server.conns, k);
-
-      if (c->instance == i)
-        c->silent = true;
-    }
-}
-
-static void
-dump_entries (const struct grp_instance *inst, json_t *out)
-{
-  for (uint32_t k = 0; k < inst->log->len; k++)
-    {
-      const struct grp_entry *e = g_ptr_array_index (inst->log, k);
-      json_t *writes = json_array ();
-
-      for (uint32_t w = 0; w < e->n; w++)
-        json_array_append_new (writes, json_pack ("[s, s?]", e->writes[w].key,
-                                                  e->writes[w].value));
-      json_array_append_new (out, json_pack ("{s:I, s:o}", "term",
-                                             (json_int_t)e->term, "writes",
-                                             writes));
-    }
-}
-
-static char *
-dump (struct instance *i)
-{
-  struct grp_instance *inst = model_of (i);
-  json_t *log = json_array ();
-  json_t *root;
-  char *text;
-  char *copy;
-
-  dump_entries (inst, log);
-  root
-      = json_pack ("{s:s, s:i, s:I, s:I, s:o}", "name", i->name, "role",
-                   (int)inst->role, "term", (json_int_t)inst->term,
-                   "granted_term", (json_int_t)inst->granted_term, "log", log);
-  text = json_dumps (root, JSON_COMPACT);
-  copy = g_strdup_printf ("%s\n", text);
-  free (text);
-  json_decref (root);
-  return copy;
-}
-
-static void
-set_service (const char *value)
-{
-  server.service_us = atoll (value);
-}
-
-/* One control line, "COMMAND INSTANCE [NUMBER]"; returns the answer.
-   kill restart pause resume isolate heal lag(ms) silence lose(n)
-   lose_before(n) primary dump; service - (us)  */
-static char *
-control (struct instance *i, const char *command, int64_t number)
-{
-  struct grp_instance *inst = model_of (i);
-
-  if (strcmp (command, "kill") == 0)
-    kill_instance (i);
-  else if (strcmp (command, "restart") == 0)
-    {
-      grp_restart (&i->group->model, i->index, server.now_us);
-      listen_at (&i->listener, i->address, on_accept, i);
-    }
-  else if (strcmp (command, "pause") == 0)
-    inst->paused = true;
-  else if (strcmp (command, "resume") == 0)
-    inst->paused = false;
-  else if (strcmp (command, "isolate") == 0)
-    inst->isolated = i->cut = true;
-  else if (strcmp (command, "heal") == 0)
-    inst->isolated = i->cut = false;
-  else if (strcmp (command, "lag") == 0)
-    inst->lag_us = number * 1000;
-  else if (strcmp (command, "silence") == 0)
-    silence_conns (i);
-  else if (strcmp (command, "lose") == 0)
-    i->lose_commits = number;
-  else if (strcmp (command, "lose_before") == 0)
-    i->lose_before = number;
-  else if (strcmp (command, "dump") == 0)
-    return dump (i);
-  else if (strcmp (command, "role") == 0)
-    return g_strdup_printf ("%d %lu %u\n", (int)inst->role, inst->term,
-                            inst->log->len);
-  else
-    return g_strdup ("unknown command\n");
-  return g_strdup ("ok\n");
-}
-
-static struct instance *
-find_instance (const char *name)
-{
-  for (uint32_t k = 0; k < server.instances->len; k++)
-    {
-      struct instance *i = g_ptr_array_index (server.instances, k);
-
-      if (strcmp (i->name, name) == 0)
-        return i;
-    }
-  return NULL;
-}
-
-/* Control connections carry one line each and are served at once.  */
-static void
-on_control (void *arg, uint32_t events)
-{
-  char line[256] = "";
-  char command[32] = "";
-  char name[64] = "";
-  long long number = 0;
-  struct instance *i;
-  char *answer;
-  size_t sent = 0;
-  int fd = accept (server.control.fd, NULL, NULL);
-
-  (void)arg;
-  (void)events;
-  if (fd < 0)
-    return;
-  if (recv (fd, line, sizeof line - 1, 0) > 0
-      && sscanf (line, "%31s %63s %lld", command, name, &number) >= 2)
-    {
-      i = find_instance (name);
-      if (strcmp (command, "service") == 0)
-        set_service (name);
-      answer = i ? control (i, command, number) : g_strdup ("ok\n");
-      while (sent < strlen (answer))
-        {
-          ssize_t n
-              = send (fd, answer + sent, strlen (answer) - sent, MSG_NOSIGNAL);
-
-          if (n <= 0)
-            break;
-          sent += (size_t)n;
-        }
-      g_free (answer);
-    }
-  close (fd);
-}
-
 static void
 deliver_due (struct conn *c)
 {
@@ -947,6 +571,12 @@
       g_ptr_array_remove_index_fast (server.conns, k - 1);
 }
 
+bool
+ups_listen (struct instance *i)
+{
+  return listen_at (&i->listener, i->address, on_accept, i);
+}
+
 static bool
 add_instance (struct group *g, uint32_t index, json_t *item)
 {
@@ -968,7 +598,7 @@
   g_queue_init (&i->waiting);
   g->names[index] = i->name;
   g_ptr_array_add (server.instances, i);
-  return listen_at (&i->listener, address, on_accept, i);
+  return ups_listen (i);
 }
 
 static bool
@@ -1013,7 +643,7 @@
     ok &= add_group (item);
   ok &= listen_at (&server.control,
                    json_string_value (json_object_get (root, "control")),
-                   on_control, NULL);
+                   ups_on_control, NULL);
   json_decref (root);
   return ok;
 }
--- /dev/null
+++ b/tests/unit/entry_test.cc
@@ -0,0 +1,168 @@
+// What an entry tells its caller, with the homes played by the test.
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "entry.h"
+}
+
+namespace
+{
+
+const char kOneDatabase[]
+    = "data_centres:\n"
+      "  - {name: a, region: r}\n"
+      "databases:\n"
+      "  - name: bins\n"
+      "    instances:\n"
+      "      - {name: bins-1, address: '127.0.0.1:1', data_centre: a}\n";
+
+// An entry whose homes are played by the test.
+struct EntryBench
+{
+  struct ctr_set counters = {};
+  std::vector<struct wire_request *> sent;
+  std::vector<enum rsn> answers;
+  struct entry *e;
+  struct dcl_set *set;
+  int64_t now_us = 0;
+
+  EntryBench ()
+  {
+    struct ent_options o = {};
+    o.answer = [] (void *arg, void *, const struct ent_answer *a) {
+      ((EntryBench *)arg)->answers.push_back (a->reason);
+    };
+    o.send = [] (void *arg, const char *, struct wire_request *r) {
+      ((EntryBench *)arg)->sent.push_back (wire_request_ref (r));
+    };
+    o.home = [] (void *, const struct dcl_database *, uint32_t, uint32_t) {
+      return "vm";
+    };
+    o.alive = [] (void *, const char *) { return true; };
+    o.arg = o.answer_arg = this;
+    o.counters = &counters;
+    o.data_centre = o.region = "a";
+    o.jobs_max = 10;
+    e = ent_new (&o);
+    std::string text = std::string ("version: 1\n") + kOneDatabase
+                       + "requests:\n  - {kind: again, repeat: allowed}\n"
+                         "  - {kind: once}\n";
+    struct dcl_file file = { (char *)"f", (char *)text.data (), text.size () };
+    struct fnd_list findings;
+    fnd_init (&findings);
+    set = dcl_parse (&file, 1, &findings);
+    fnd_free (&findings);
+    ent_set_databases (e, set);
+  }
+  ~EntryBench ()
+  {
+    for (struct wire_request *r : sent)
+      wire_request_unref (r);
+    ent_free (e);
+    dcl_free (set);
+  }
+  void
+  Submit (const char *kind, const char *id)
+  {
+    struct wire_statement s = { (char *)"x", 0, nullptr };
+    struct ent_call call = {};
+    call.op = WIRE_RUN;
+    call.database = "bins";
+    call.kind = kind;
+    call.request_id = id;
+    call.transaction = "";
+    call.n_statements = 1;
+    call.statements = &s;
+    ent_submit (e, &call, 0, 0);
+  }
+  void
+  Reply (enum rsn reason)
+  {
+    struct wire_reply reply = {};
+    reply.id = sent.back ()->id;
+    reply.reason = reason;
+    ent_reply (e, &reply, now_us);
+    // Lets pauses end.
+    for (int i = 0; i < 3; i++)
+      ent_tick (e, now_us += 120000);
+  }
+};
+
+// The replies of the homes, in turn, and what the caller is told.
+TEST (Entry, TellsWhatIsCertain)
+{
+  const uint64_t bits[2] = { 1, 2 };
+  char id[RID_LEN + 1];
+  rid_format (0, bits, id);
+  struct
+  {
+    const char *what;
+    const char *kind;
+    std::vector<enum rsn> replies;
+    enum rsn answer;
+  } const cases[] = {
+    { "done", "once", { RSN_OK }, RSN_OK },
+    { "refused at once", "once", { RSN_QUEUE_FULL }, RSN_QUEUE_FULL },
+    // Found by the explorer: the first try may have run.
+    { "a refused retry of a write in doubt",
+      "again",
+      { RSN_ANSWER_LOST, RSN_NO_MAJORITY },
+      RSN_ANSWER_LOST },
+    { "the ledger knows the lost one",
+      "once",
+      { RSN_ANSWER_LOST, RSN_OK },
+      RSN_OK },
+    { "the ledger voids it",
+      "once",
+      { RSN_ANSWER_LOST, RSN_REQUEST_VOIDED },
+      RSN_REQUEST_VOIDED },
+    { "a busy home settles nothing",
+      "once",
+      { RSN_ANSWER_LOST, RSN_QUEUE_FULL, RSN_NO_MAJORITY, RSN_REQUEST_VOIDED },
+      RSN_REQUEST_VOIDED },
+    { "a failed statement voids the id first",
+      "once",
+      { RSN_SQL_ERROR, RSN_REQUEST_VOIDED },
+      RSN_SQL_ERROR },
+    { "unless an earlier try had run",
+      "once",
+      { RSN_SQL_ERROR, RSN_OK },
+      RSN_OK },
+    { "committed but not confirmed",
+      "once",
+      { RSN_UNCONFIRMED },
+      RSN_UNCONFIRMED },
+  };
+  for (const auto &c : cases)
+    {
+      EntryBench bench;
+      bench.Submit (c.kind, strcmp (c.kind, "once") == 0 ? id : "");
+      for (enum rsn reason : c.replies)
+        bench.Reply (reason);
+      ASSERT_EQ (bench.answers.size (), 1u) << c.what;
+      EXPECT_EQ (bench.answers[0], c.answer)
+          << c.what << " " << rsn_text (bench.answers[0]);
+    }
+}
+
+TEST (Entry, LateAndUnknownRepliesAreDropped)
+{
+  EntryBench bench;
+  bench.Submit ("again", "");
+  uint64_t first = bench.sent.back ()->id;
+  bench.Reply (RSN_ANSWER_LOST);
+  ASSERT_EQ (bench.sent.size (), 2u);
+  struct wire_reply late = {};
+  late.id = first;
+  late.reason = RSN_OK;
+  ent_reply (bench.e, &late, 2000);
+  EXPECT_TRUE (bench.answers.empty ());
+  EXPECT_EQ (ctr_get (&bench.counters, CTR_LATE_REPLY), 1u);
+  bench.Reply (RSN_OK);
+  EXPECT_EQ (bench.answers.size (), 1u);
+}
+
+} // namespace
