--- a/packages/adapters/peers.c
+++ b/packages/adapters/peers.c
@@ -470,9 +470,3 @@
   if (p->broken->len > 0)
     g_ptr_array_set_size (p->broken, 0);
 }
-
-uint32_t
-peers_count (const struct peers *p)
-{
-  return g_hash_table_size (p->links);
-}
--- a/packages/adapters/peers.h
+++ b/packages/adapters/peers.h
@@ -40,6 +40,5 @@
 struct peer_port *peers_port (struct peers *p);
 /* Closes idle links and sends delayed messages; call every few ms.  */
 void peers_tick (struct peers *p, int64_t now_us);
-uint32_t peers_count (const struct peers *p);
 
 #endif
--- a/packages/core/home.c
+++ b/packages/core/home.c
@@ -435,8 +435,8 @@
   htx_expire (h, now_us);
 }
 
-int64_t
-home_wait_ms (const struct home_group *g, uint32_t instance)
+static int64_t
+wait_ms_of (const struct home_group *g, uint32_t instance)
 {
   const struct adm *a = &g->instances[instance].adm;
   int64_t worst = 0;
@@ -474,7 +474,7 @@
       view->instances[i].age_ms = q->seen[i].known && age_us != QRM_AGE_UNKNOWN
                                       ? age_us / MS_US
                                       : INT64_MAX;
-      view->instances[i].wait_ms = home_wait_ms (g, i);
+      view->instances[i].wait_ms = wait_ms_of (g, i);
     }
 }
 
--- a/packages/core/homeint.h
+++ b/packages/core/homeint.h
@@ -145,6 +145,5 @@
 void htx_free_all (struct home *h);
 
 double home_jitter (struct home *h);
-int64_t home_wait_ms (const struct home_group *g, uint32_t instance);
 
 #endif
--- a/packages/core/homeop.c
+++ b/packages/core/homeop.c
@@ -110,12 +110,6 @@
   g_free (from);
 }
 
-static bool
-is_write (const struct wire_request *r)
-{
-  return !r->read;
-}
-
 enum rsn
 hop_precheck (const struct home *h, const struct home_op *op, int64_t now_us)
 {
@@ -146,7 +140,7 @@
     return RSN_NOT_PRIMARY;
   if (q->led_since_us < now_us - FO_DETECT_MS * MS_US)
     return RSN_NO_PRIMARY;
-  if (is_write (r) && r->op != WIRE_RESOLVE
+  if (!r->read && r->op != WIRE_RESOLVE
       && h->options.rule == &qrm_rule_majority
       && qrm_confirm_lag_us (q, now_us) > r->deadline_ms * MS_US)
     return RSN_CONFIRM_TOO_SLOW;
