--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,8 @@
 
 .PHONY: all deps build demo test check bench bench-fleet explore fuzz sanitize slopes capacity replay experiments
 
-SOURCES = $(wildcard packages/*/*.c bench/*.c tests/*.c tests/*/*.c)
-FORMATTED = $(SOURCES) $(wildcard packages/*/*.h tests/*.h tests/*/*.h \
+SOURCES = $(wildcard packages/*/*.c platform/*.c bench/*.c tests/*.c tests/*/*.c)
+FORMATTED = $(SOURCES) $(wildcard packages/*/*.h platform/*.h tests/*.h tests/*/*.h \
   tests/*/*.cc)
 # Loop macros of libraries, simplified for cppcheck.
 CPPCHECK_MACROS = \
@@ -40,7 +40,7 @@
 	cppcheck $(CPPCHECK_MACROS) -q --error-exitcode=1 --inline-suppr \
 	  --enable=warning,performance,portability --std=c11 -j 4 \
 	  --suppress=missingInclude --suppress=missingIncludeSystem \
-	  -Ipackages/core -Ipackages/adapters -Ipackages/proxy -Ipackages/ctl \
+	  -Ipackages/core -Ipackages/adapters -Ipackages/proxy -Ipackages/ctl -Iplatform \
 	  -Itests/fakes $(SOURCES)
 	echo $(SOURCES) | xargs -n 4 -P 6 clang-tidy -p $(BUILD) --quiet
 
--- /dev/null
+++ b/packages/core/event.h
@@ -0,0 +1,66 @@
+/* Structured log of decisions: one JSON object a line, limited a kind and
+   second, never blocking.  The sink decides where lines go.  */
+#ifndef CB_EVENT_H
+#define CB_EVENT_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum ev
+{
+#define E(sym, name, per_s, help) EV_##sym,
+#include "event.def"
+#undef E
+  EV_COUNT
+};
+
+/* One field of a line: a text, or an integer when TEXT is NULL.  */
+struct ev_field
+{
+  const char *key;
+  const char *text;
+  int64_t number;
+};
+
+#define EV_TEXT(k, v) ((struct ev_field){ (k), (v) ? (v) : "", 0 })
+#define EV_INT(k, v) ((struct ev_field){ (k), NULL, (v) })
+
+/* Takes one line with its newline.  Returns false when it was dropped.  */
+typedef bool ev_sink_fn (void *arg, const char *line, size_t len);
+
+struct ev_limit
+{
+  int64_t second;
+  uint32_t written;
+  uint64_t left_out;
+};
+
+struct ev_log
+{
+  const char *vm; /* borrowed */
+  ev_sink_fn *sink;
+  void *arg;
+  struct ev_limit limits[EV_COUNT];
+  uint64_t counts[EV_COUNT]; /* also of lines left out */
+  uint64_t dropped;          /* by the sink */
+};
+
+const char *ev_name (enum ev event);
+const char *ev_help (enum ev event);
+void ev_init (struct ev_log *log, const char *vm, ev_sink_fn *sink, void *arg);
+/* Writes one line stamped with the local time NOW_US.  A NULL LOG writes
+   nothing.  */
+void ev_write (struct ev_log *log, int64_t now_us, enum ev event,
+               const struct ev_field *fields, uint32_t n_fields);
+
+#define EV(log, now, event, ...)                                              \
+  do                                                                          \
+    {                                                                         \
+      const struct ev_field ev_fields_[] = { __VA_ARGS__ };                   \
+      ev_write ((log), (now), (event), ev_fields_,                            \
+                (uint32_t)G_N_ELEMENTS (ev_fields_));                         \
+    }                                                                         \
+  while (0)
+
+#endif
--- /dev/null
+++ b/packages/core/place.c
@@ -0,0 +1,109 @@
+/* Placement of statements.  */
+#include "place.h"
+
+/* A connection costs a slot of the instance for its handshake and two round
+   trips; about this much besides the round trips.  */
+#define OPEN_COST_US 20000
+/* A round trip weighs so much more than work: bytes between regions are dear
+   and a nearer copy leaves the link to those who need it.  */
+#define DISTANCE_WEIGHT 3
+
+struct plc_limits
+plc_limits_for (int32_t connections_max, uint32_t n_vms)
+{
+  struct plc_limits l;
+  uint32_t max = connections_max > 0 ? (uint32_t)connections_max : 1;
+
+  l.share = max / MAX (n_vms, 1);
+  /* Borrowed room: a burst of one proxy uses what others leave idle.  */
+  l.most = MIN (2 * l.share + 1, max);
+  l.most = MAX (l.most, 2);
+  return l;
+}
+
+struct ul *
+plc_idle_link (const struct svc_instance *instance)
+{
+  struct ul *best = NULL;
+
+  /* The most recently used one, so that the others can be trimmed.  */
+  for (guint i = 0; i < instance->links->len; i++)
+    {
+      struct ul *link = g_ptr_array_index (instance->links, i);
+
+      if (ul_is_idle (link)
+          && (!best || link->idle_since_us > best->idle_since_us))
+        best = link;
+    }
+  return best;
+}
+
+static bool
+may_open (const struct svc_instance *i, struct plc_limits limits,
+          int64_t now_us)
+{
+  return i->links->len < limits.most && now_us >= i->open_after_us;
+}
+
+static bool
+fits (const struct svc_instance *i, const struct plc_need *need,
+      int64_t now_us)
+{
+  if (!svc_is_usable (i, now_us))
+    /* A draining primary leads on until its successor is proved.  */
+    return need->leader && i->svc->leader == i && svc_may_lead_on (i, now_us);
+  if (need->leader)
+    return i->svc->leader == i;
+  if (lp_is_known (i->behind) && now_us < i->behind_until_us
+      && lp_compare (need->floor, i->behind) >= 0
+      && lp_compare (i->position, need->floor) < 0)
+    return false;
+  return true;
+}
+
+static int64_t
+cost_of (const struct svc_instance *i, const struct plc_need *need, bool idle)
+{
+  int32_t slots = MAX (i->entry->slots, 1);
+  int64_t cost = DISTANCE_WEIGHT * i->round_trip_us + i->work_us
+                 + i->work_us * i->n_in_use / slots;
+
+  if (!idle)
+    cost += OPEN_COST_US + 2 * i->round_trip_us;
+  if (i == need->avoid)
+    cost += INT32_MAX;
+  return cost;
+}
+
+struct plc_choice
+plc_choose (const struct svc *s, const struct plc_need *need,
+            struct plc_limits limits, int64_t now_us)
+{
+  struct plc_choice best = { PLC_NONE, NULL, NULL };
+  int64_t best_cost = INT64_MAX;
+
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      struct svc_instance *i = g_ptr_array_index (s->instances, n);
+      struct ul *link;
+      int64_t cost;
+
+      if (!fits (i, need, now_us))
+        continue;
+      if (best.verdict == PLC_NONE)
+        best.verdict = PLC_WAIT;
+      if (now_us < i->busy_until_us)
+        continue;
+      link = plc_idle_link (i);
+      if (!link && !may_open (i, limits, now_us))
+        continue;
+      cost = cost_of (i, need, link != NULL);
+      if (cost >= best_cost)
+        continue;
+      best_cost = cost;
+      best.verdict = link ? PLC_USE : PLC_OPEN;
+      best.instance = i;
+      best.link = link;
+    }
+  return best;
+}
--- /dev/null
+++ b/packages/core/pooler.c
@@ -0,0 +1,367 @@
+/* Sessions and their statements.  */
+#include "poolerint.h"
+
+#include <string.h>
+
+/* Statements of one service that may wait at once in this process.  */
+#define WAITING_MAX 512
+
+struct plr *
+plr_new (const struct plr_options *options, int64_t now_us)
+{
+  struct plr *p = g_new0 (struct plr, 1);
+
+  (void)now_us;
+  p->o = *options;
+  p->services = g_hash_table_new (g_str_hash, g_str_equal);
+  p->shapes = ses_shapes_new ();
+  g_queue_init (&p->sessions);
+  g_queue_init (&p->active);
+  p->n_vms = 1;
+  p->directory_reachable = true;
+  p->random = options->seed;
+  return p;
+}
+
+static void
+free_service (struct svc *s)
+{
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+      while (i->links->len > 0)
+        ul_free (g_ptr_array_index (i->links, 0));
+    }
+  svc_free (s);
+}
+
+void
+plr_free (struct plr *p)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  while (p->sessions.head)
+    {
+      struct ses *s = p->sessions.head->data;
+
+      g_queue_unlink (&p->sessions, &s->node);
+      plr_leave_queues (p, s);
+      ses_free (s, p->shapes);
+    }
+  g_hash_table_iter_init (&iter, p->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    free_service (service);
+  g_hash_table_destroy (p->services);
+  dir_config_free (p->config);
+  ses_shapes_free (p->shapes);
+  g_free (p);
+}
+
+struct svc *
+plr_service (struct plr *p, const char *name)
+{
+  struct svc *s = g_hash_table_lookup (p->services, name);
+
+  if (!s)
+    {
+      s = svc_new (name);
+      s->leave_us = p->o.leave_us;
+      g_hash_table_insert (p->services, s->name, s);
+    }
+  return s;
+}
+
+GHashTable *
+plr_services (struct plr *p)
+{
+  return p->services;
+}
+
+uint64_t
+plr_version (const struct plr *p)
+{
+  return p->config ? p->config->version : 0;
+}
+
+void
+plr_set_vms (struct plr *p, uint32_t n)
+{
+  p->n_vms = MAX (n, 1);
+}
+
+struct ses *
+plr_open_session (struct plr *p, void *tag, const char *database,
+                  int64_t now_us)
+{
+  struct ses *s;
+
+  if (!dir_find_route (p->config, database))
+    {
+      atomic_fetch_add_explicit (&p->o.counters->refusal[RFS_NO_ROUTE], 1,
+                                 memory_order_relaxed);
+      EV (p->o.log, now_us, EV_REFUSED, EV_TEXT ("database", database),
+          EV_TEXT ("why", rfs_name (RFS_NO_ROUTE)),
+          EV_INT ("version", (int64_t)plr_version (p)));
+      return NULL;
+    }
+  ctr_add (p->o.counters, CTR_SESSIONS_OPENED, 1);
+  s = ses_new (tag, database, now_us);
+  g_queue_push_tail_link (&p->sessions, &s->node);
+  return s;
+}
+
+void
+plr_close_session (struct plr *p, struct ses *s, int64_t now_us)
+{
+  ctr_add (p->o.counters, CTR_SESSIONS_CLOSED, 1);
+  plr_leave_queues (p, s);
+  plr_release (p, s, now_us);
+  g_queue_unlink (&p->sessions, &s->node);
+  ses_free (s, p->shapes);
+}
+
+static void
+answer (struct plr *p, struct ses *s, const struct stm_end *end,
+        int64_t now_us)
+{
+  s->state = end->state;
+  s->rested_us = now_us;
+  p->o.callers->ops->answer (p->o.callers, s->tag, end);
+}
+
+/* Answers a statement that was not taken yet.  */
+static void
+reject (struct plr *p, struct ses *s, const struct stm *statement,
+        enum rfs why, enum sqc code, enum stm_state state, int64_t now_us)
+{
+  struct stm_end end = { 0 };
+
+  atomic_fetch_add_explicit (&p->o.counters->refusal[why], 1,
+                             memory_order_relaxed);
+  EV (p->o.log, now_us, EV_REFUSED, EV_TEXT ("id", statement->id),
+      EV_TEXT ("database", s->database), EV_TEXT ("why", rfs_name (why)),
+      EV_TEXT ("code", sqc_name (code)));
+  end.code = code;
+  end.text = rfs_text (why);
+  end.state = state;
+  if (state != STM_OPEN)
+    {
+      plr_release (p, s, now_us);
+      plr_end_work (s);
+    }
+  answer (p, s, &end, now_us);
+}
+
+static void
+accept_own (struct plr *p, struct ses *s, enum stm_state state, int64_t now_us)
+{
+  struct stm_end end = { .ok = true, .state = state };
+
+  answer (p, s, &end, now_us);
+}
+
+/* Looks the route up, once for each transaction or lone statement.  */
+static bool
+begin_work (struct plr *p, struct ses *s, bool transaction, bool read_only,
+            int64_t now_us)
+{
+  const struct dir_route *r = dir_find_route (p->config, s->database);
+  struct ses_work *w = &s->work;
+
+  if (!r)
+    return false;
+  plr_end_work (s);
+  w->transaction = transaction;
+  w->read_only = read_only;
+  w->arrived_us = now_us;
+  w->svc = plr_service (p, r->service);
+  w->reads = r->reads;
+  w->max_age_us = r->max_age_us;
+  w->timeout_us = r->timeout_us;
+  w->objective_us = r->objective_us;
+  w->priority = r->priority;
+  return true;
+}
+
+static void
+on_begin (struct plr *p, struct ses *s, const struct stm *statement,
+          int64_t now_us)
+{
+  bool read_only = statement->kind == STM_BEGIN_READ;
+
+  if (s->state != STM_IDLE)
+    {
+      reject (p, s, statement, RFS_OUT_OF_ORDER, SQC_MALFORMED, STM_BROKEN,
+              now_us);
+      return;
+    }
+  if (!begin_work (p, s, true, read_only, now_us))
+    {
+      reject (p, s, statement, RFS_NO_ROUTE, SQC_NO_DATABASE, STM_IDLE,
+              now_us);
+      return;
+    }
+  ctr_add (p->o.counters, CTR_SESSION_TRANSACTIONS, 1);
+  accept_own (p, s, STM_OPEN, now_us);
+}
+
+/* The end of a transaction that has failed, or that never was.  */
+static void
+on_end_of_nothing (struct plr *p, struct ses *s, const struct stm *statement,
+                   int64_t now_us)
+{
+  if (statement->kind == STM_ROLLBACK)
+    accept_own (p, s, STM_IDLE, now_us);
+  else if (s->state == STM_BROKEN)
+    reject (p, s, statement, RFS_OUT_OF_ORDER, SQC_ABORTED, STM_IDLE, now_us);
+  else
+    reject (p, s, statement, RFS_OUT_OF_ORDER, SQC_MALFORMED, STM_IDLE,
+            now_us);
+}
+
+static void
+on_rollback (struct plr *p, struct ses *s, int64_t now_us)
+{
+  plr_release (p, s, now_us);
+  plr_end_work (s);
+  accept_own (p, s, STM_IDLE, now_us);
+}
+
+/* Checks a statement for the upstream against the session.  Returns false
+   when it was answered.  */
+static bool
+is_allowed (struct plr *p, struct ses *s, const struct stm *statement,
+            bool *writes, int64_t now_us)
+{
+  enum stm_state failed = s->state == STM_OPEN ? STM_BROKEN : STM_IDLE;
+  const struct ses_shape *shape = NULL;
+
+  if (statement->kind == STM_EXECUTE)
+    {
+      shape = ses_shape_of (s, statement);
+      if (!shape)
+        {
+          reject (p, s, statement, RFS_NOT_PREPARED, SQC_NO_STATEMENT, failed,
+                  now_us);
+          return false;
+        }
+    }
+  *writes = statement->kind == STM_WRITE || (shape && shape->writes);
+  if (*writes && s->state == STM_OPEN && s->work.read_only)
+    {
+      reject (p, s, statement, RFS_READ_ONLY_TRANSACTION, SQC_READ_ONLY,
+              failed, now_us);
+      return false;
+    }
+  return true;
+}
+
+static void
+run (struct plr *p, struct ses *s, const struct stm *statement, int64_t now_us)
+{
+  bool writes;
+
+  if (!is_allowed (p, s, statement, &writes, now_us))
+    return;
+  if (s->state == STM_IDLE && !begin_work (p, s, false, false, now_us))
+    {
+      reject (p, s, statement, RFS_NO_ROUTE, SQC_NO_DATABASE, STM_IDLE,
+              now_us);
+      return;
+    }
+  if (g_queue_get_length (&s->work.svc->waiting) >= WAITING_MAX && !s->link)
+    {
+      reject (p, s, statement, RFS_QUEUE_FULL, SQC_BUSY,
+              s->state == STM_OPEN ? STM_BROKEN : STM_IDLE, now_us);
+      return;
+    }
+  ses_take (s, statement, now_us);
+  s->writes = writes;
+  s->stage = SES_SENT;
+  s->sent_us = 0;
+  g_queue_push_tail_link (&p->active, &s->active);
+  plr_start (p, s, now_us);
+}
+
+static void
+on_lost_transaction (struct plr *p, struct ses *s, const struct stm *statement,
+                     int64_t now_us)
+{
+  bool over = statement->kind == STM_COMMIT;
+
+  reject (p, s, statement,
+          s->work.idle_end ? RFS_IDLE_TRANSACTION : RFS_LINK_LOST, SQC_ABORTED,
+          over ? STM_IDLE : STM_BROKEN, now_us);
+}
+
+void
+plr_statement (struct plr *p, struct ses *s, const struct stm *statement,
+               int64_t now_us)
+{
+  struct stm_end end;
+
+  if (statement->kind == STM_MALFORMED)
+    reject (p, s, statement, RFS_MALFORMED_STATEMENT, SQC_MALFORMED,
+            s->state == STM_IDLE ? STM_IDLE : STM_BROKEN, now_us);
+  else if (statement->kind == STM_ROLLBACK && s->state == STM_OPEN)
+    on_rollback (p, s, now_us);
+  else if (s->state == STM_OPEN && s->work.lost)
+    on_lost_transaction (p, s, statement, now_us);
+  else if (statement->kind == STM_ROLLBACK
+           || (statement->kind == STM_COMMIT && s->state != STM_OPEN))
+    on_end_of_nothing (p, s, statement, now_us);
+  else if (s->state == STM_BROKEN)
+    reject (p, s, statement, RFS_OUT_OF_ORDER, SQC_MALFORMED, STM_BROKEN,
+            now_us);
+  else if (statement->kind == STM_BEGIN || statement->kind == STM_BEGIN_READ)
+    on_begin (p, s, statement, now_us);
+  else if (ses_run_local (s, p->shapes, statement, &end))
+    answer (p, s, &end, now_us);
+  else
+    run (p, s, statement, now_us);
+}
+
+uint32_t
+plr_count_sessions (const struct plr *p)
+{
+  return g_queue_get_length ((GQueue *)&p->sessions);
+}
+
+static bool
+is_busy (const struct ses *s)
+{
+  return s->stage != SES_RESTING || s->state != STM_IDLE;
+}
+
+uint32_t
+plr_count_busy (const struct plr *p)
+{
+  uint32_t n = 0;
+
+  for (const GList *l = p->sessions.head; l; l = l->next)
+    n += is_busy (l->data) ? 1 : 0;
+  return n;
+}
+
+void
+plr_drain (struct plr *p, bool force, int64_t now_us)
+{
+  GList *next;
+
+  p->draining = true;
+  for (GList *l = p->sessions.head; l; l = next)
+    {
+      struct ses *s = l->data;
+
+      next = l->next;
+      if (!is_busy (s))
+        p->o.callers->ops->hang_up (p->o.callers, s->tag);
+      else if (force && s->stage == SES_RESTING && s->link)
+        {
+          s->work.lost = true;
+          plr_release (p, s, now_us);
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/pooler.h
@@ -0,0 +1,107 @@
+/* The session pooler: callers' sessions on one side, a scarce set of upstream
+   connections on the other.  It decides where each statement runs, tries again
+   what may be tried again, and answers every statement exactly once.
+
+   One thread; time is an argument.  */
+#ifndef CB_POOLER_H
+#define CB_POOLER_H
+
+#include "event.h"
+#include "reason.h"
+#include "session.h"
+
+struct plr_port;
+
+struct plr_port_ops
+{
+  /* The end of the statement that the session behind TAG waits for.  */
+  void (*answer) (struct plr_port *port, void *tag, const struct stm_end *end);
+  /* Ends a session that waits for nothing, once its answers are sent.  The
+     adapter reports it closed later.  */
+  void (*hang_up) (struct plr_port *port, void *tag);
+};
+
+struct plr_port
+{
+  const struct plr_port_ops *ops;
+};
+
+struct plr_options
+{
+  struct plr_port *callers;
+  struct ul_port *upstreams;
+  struct ctr_set *counters;
+  struct ev_log *log; /* NULL: no log */
+  const char *data_centre;
+  GHashTable *regions; /* data centre -> region, borrowed */
+  uint64_t seed;       /* of jitter */
+  int64_t leave_us;    /* a leaving primary may lead on for so long */
+};
+
+struct plr;
+
+struct plr *plr_new (const struct plr_options *options, int64_t now_us);
+void plr_free (struct plr *p);
+
+/* Directory.  */
+
+/* Takes CONFIG and puts it in force, or frees it when it is not newer.
+   Returns whether it is in force.  */
+bool plr_configure (struct plr *p, struct dir_config *config, int64_t now_us);
+/* Version in force, 0 before the first.  */
+uint64_t plr_version (const struct plr *p);
+/* INSTANCE is listed, perhaps changed.  */
+void plr_list_instance (struct plr *p, const struct dir_instance *instance,
+                        int64_t now_us);
+/* The directory lost the instance.  */
+void plr_unlist_instance (struct plr *p, const char *id, int64_t now_us);
+/* The directory was read in full: instances not listed since BEFORE_US are
+   missing.  */
+void plr_end_listing (struct plr *p, GHashTable *listed_ids, int64_t now_us);
+/* Whether the directory can be trusted to be current.  While it can't,
+   missing instances stay in use.  */
+void plr_directory_state (struct plr *p, bool reachable, int64_t now_us);
+/* Proxies that share the upstreams' connections, this one included.  */
+void plr_set_vms (struct plr *p, uint32_t n);
+
+/* Sessions.  */
+
+/* NULL when the database has no route.  */
+struct ses *plr_open_session (struct plr *p, void *tag, const char *database,
+                              int64_t now_us);
+/* One statement at a time; the answer may come before this returns.  */
+void plr_statement (struct plr *p, struct ses *s, const struct stm *statement,
+                    int64_t now_us);
+/* The caller is gone.  Frees S.  */
+void plr_close_session (struct plr *p, struct ses *s, int64_t now_us);
+
+/* Upstream events.  */
+void plr_link_opened (struct plr *p, struct ul *link, struct lp position,
+                      int64_t now_us);
+/* The instance refused the connection with CODE.  Frees LINK.  */
+void plr_link_refused (struct plr *p, struct ul *link, enum sqc code,
+                       int64_t now_us);
+/* The connection broke or could not be made; REFUSED: nobody listens there.
+   Frees LINK.  */
+void plr_link_lost (struct plr *p, struct ul *link, bool refused,
+                    int64_t now_us);
+void plr_link_answer (struct plr *p, struct ul *link,
+                      const struct stm_end *end, int64_t now_us);
+
+/* Time limits, probes and idle connections; due every PLR_TICK_US.  */
+#define PLR_TICK_US 20000
+void plr_tick (struct plr *p, int64_t now_us);
+
+/* Graceful shutdown: sessions at rest are told to go, others as they come to
+   rest.  With FORCE open transactions are ended too.  */
+void plr_drain (struct plr *p, bool force, int64_t now_us);
+uint32_t plr_count_sessions (const struct plr *p);
+/* Sessions with a statement or transaction under way.  */
+uint32_t plr_count_busy (const struct plr *p);
+
+/* For the succession: the groups known.  */
+GHashTable *plr_services (struct plr *p);
+/* Asks every usable replica of S for its status.  */
+void plr_ask_status (struct plr *p, struct svc *s, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/packages/core/poolerint.h
@@ -0,0 +1,74 @@
+/* Internals of the pooler, shared by its parts: pooler.c (sessions and
+   statements), poolrun.c (placing and sending), poolend.c (answers and
+   losses), poolwatch.c (probes, time limits, directory).  Calls go from the
+   first to the last of: pooler, poolwatch, poolend, poolrun.  */
+#ifndef CB_POOLERINT_H
+#define CB_POOLERINT_H
+
+#include "place.h"
+#include "pooler.h"
+
+struct plr
+{
+  struct plr_options o;
+  struct dir_config *config;
+  GHashTable *services; /* name -> struct svc * */
+  struct ses_shapes *shapes;
+  GQueue sessions; /* struct ses * */
+  GQueue active;   /* those with a statement under way */
+  uint32_t n_vms;
+  bool directory_reachable;
+  bool draining;
+  uint64_t random;
+};
+
+/* poolrun.c */
+
+/* Looks for a place for the statement of S and sends it, or lets it wait.  */
+void plr_start (struct plr *p, struct ses *s, int64_t now_us);
+/* Sends the statement of S on the connection it holds.  */
+void plr_send (struct plr *p, struct ses *s, int64_t now_us);
+/* Tries every waiting statement of a service again.  */
+void plr_pump (struct plr *p, struct svc *s, int64_t now_us);
+/* Opens a connection.  */
+struct ul *plr_open_link (struct plr *p, struct svc_instance *i,
+                          int64_t now_us);
+struct plc_limits plr_limits (const struct plr *p, const struct svc *s);
+/* Takes the connection from S; what it still owes is dropped.  */
+void plr_release (struct plr *p, struct ses *s, int64_t now_us);
+/* Gives a connection that nobody holds to the next user, or cleans it.  */
+void plr_settle (struct plr *p, struct ul *link, int64_t now_us);
+/* Asks the instance whether it leads (or lives), free of queues.  */
+void plr_probe (struct plr *p, struct ul *link, bool lead, int64_t now_us);
+
+/* poolend.c */
+
+/* Answers the statement of S with a success.  */
+void plr_succeed (struct plr *p, struct ses *s, struct stm_end *end,
+                  int64_t now_us);
+/* Answers the statement of S with an error, as CODE.  */
+void plr_refuse (struct plr *p, struct ses *s, enum rfs why, enum sqc code,
+                 int64_t now_us);
+/* Lets the statement of S be tried again from DELAY_US on.  */
+void plr_retry (struct plr *p, struct ses *s, enum rsn_retry why,
+                int64_t delay_us, int64_t now_us);
+/* Everything under way on LINK is lost; frees LINK.  */
+void plr_drop_link (struct plr *p, struct ul *link, int64_t now_us);
+/* The statement of S got no answer in time.  */
+void plr_expire (struct plr *p, struct ses *s, int64_t now_us);
+void plr_note_leader (struct plr *p, struct svc_instance *i, int64_t asked_us,
+                      struct lp position, int64_t now_us);
+void plr_note_denied (struct plr *p, struct svc_instance *i, int64_t now_us);
+
+/* poolwatch.c */
+
+/* Makes sure that the primary of S is being looked for.  */
+void plr_seek_leader (struct plr *p, struct svc *s, int64_t now_us);
+
+struct svc *plr_service (struct plr *p, const char *name);
+/* Takes the statement of S out of all queues.  */
+void plr_leave_queues (struct plr *p, struct ses *s);
+/* Ends the transaction or lone statement of S.  */
+void plr_end_work (struct ses *s);
+
+#endif
--- /dev/null
+++ b/packages/core/poolrun.c
@@ -0,0 +1,284 @@
+/* Placing and sending statements.  */
+#include "poolerint.h"
+
+/* Allowance for clocks that run at slightly different speeds.  */
+#define AGE_MARGIN_US 20000
+/* After so many copies that lacked the position the primary is asked.  */
+#define BEHIND_TRIES 2
+
+static const struct lp nowhere;
+
+static bool
+needs_leader (const struct ses *s)
+{
+  const struct ses_work *w = &s->work;
+
+  if (w->reads == DIR_READS_FRESH || s->statement.kind == STM_WRITE)
+    return true;
+  return w->transaction ? !w->read_only : s->writes;
+}
+
+/* What the work of S needs.  Without a proof that reaches far enough back, or
+   when copies lack the position, only the primary will do.  */
+static struct plc_need
+need_of (const struct ses *s)
+{
+  const struct ses_work *w = &s->work;
+  struct plc_need need = { 0 };
+  int64_t since_us = w->arrived_us - w->max_age_us + AGE_MARGIN_US;
+
+  need.avoid = s->avoid;
+  need.leader = needs_leader (s) || s->tries_behind >= BEHIND_TRIES
+                || !svc_floor_since (w->svc, since_us, &need.floor);
+  if (need.leader)
+    need.floor = nowhere;
+  else if (w->reads == DIR_READS_OWN && s->wrote_in == w->svc)
+    need.floor = lp_max (need.floor, s->last_commit);
+  return need;
+}
+
+struct plc_limits
+plr_limits (const struct plr *p, const struct svc *s)
+{
+  return plc_limits_for (s->connections_max, p->n_vms);
+}
+
+struct ul *
+plr_open_link (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  ctr_add (p->o.counters, CTR_CONNECTION_OPENED, 1);
+  i->n_opening++;
+  if (i->question_us == 0)
+    i->question_us = now_us;
+  return ul_new (p->o.upstreams, i, now_us);
+}
+
+static gint
+compare_waiting (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct ses *x = a;
+  const struct ses *y = b;
+
+  (void)data;
+  if (x->work.priority != y->work.priority)
+    return x->work.priority < y->work.priority ? -1 : 1;
+  return x->arrived_us < y->arrived_us ? -1 : 1;
+}
+
+static void
+wait_for_room (struct ses *s)
+{
+  GQueue *q = &s->work.svc->waiting;
+  GList *at;
+
+  if (s->stage == SES_WAITING)
+    return;
+  s->stage = SES_WAITING;
+  for (at = q->tail; at && compare_waiting (at->data, s, NULL) > 0;
+       at = at->prev)
+    ;
+  if (at)
+    g_queue_insert_after_link (q, at, &s->waiting);
+  else
+    g_queue_push_head_link (q, &s->waiting);
+}
+
+static void
+stop_waiting (struct ses *s)
+{
+  if (s->stage == SES_WAITING)
+    g_queue_unlink (&s->work.svc->waiting, &s->waiting);
+  s->stage = SES_SENT;
+}
+
+static void
+ask_begin (struct ses *s, enum stm_kind kind, struct lp after, int64_t now_us)
+{
+  struct stm begin = { .kind = kind };
+
+  s->link->begin_failed = false;
+  ul_ask (s->link, UL_BEGIN, after, &begin, s, now_us);
+}
+
+static void
+ask_rollback (struct ul *link, void *session, int64_t now_us)
+{
+  struct stm rollback = { .kind = STM_ROLLBACK };
+
+  ul_ask (link, UL_END, nowhere, &rollback, session, now_us);
+}
+
+/* Sends the statement itself, under the name its shape has upstream.  */
+static void
+ask_statement (struct plr *p, struct ses *s, struct lp after, int64_t now_us)
+{
+  struct stm out = s->statement;
+
+  if (out.kind == STM_EXECUTE)
+    out.name = ses_shape_of (s, &s->statement)->upstream_name;
+  ctr_add (p->o.counters, CTR_STATEMENTS, 1);
+  s->sent_us = now_us;
+  ul_ask (s->link, UL_STATEMENT, after, &out, s, now_us);
+}
+
+/* Opens the caller's transaction.  The statement waits for the answer: after a
+   BEGIN that failed it would run on its own.  */
+static void
+begin_transaction (struct ses *s, const struct plc_need *need, int64_t now_us)
+{
+  s->work.begun = true;
+  s->sent_us = now_us;
+  s->proving = true;
+  ask_begin (s, need->leader ? STM_BEGIN : STM_BEGIN_READ, need->floor,
+             now_us);
+}
+
+static void
+send_on (struct plr *p, struct ses *s, const struct plc_need *need,
+         int64_t now_us)
+{
+  const struct ses_shape *shape = NULL;
+
+  if (s->statement.kind == STM_EXECUTE)
+    shape = ses_shape_of (s, &s->statement);
+  ul_sync_values (s->link, s->values, s->values_sum, now_us);
+  if (shape)
+    ul_sync_prepared (s->link, shape->id, shape->upstream_name, shape->writes,
+                      shape->text, now_us);
+  if (s->work.transaction)
+    {
+      if (s->work.begun)
+        ask_statement (p, s, nowhere, now_us);
+      else
+        begin_transaction (s, need, now_us);
+      return;
+    }
+  s->wrapped = need->leader && !s->writes;
+  if (s->wrapped)
+    ask_begin (s, STM_BEGIN, nowhere, now_us);
+  ask_statement (p, s, need->floor, now_us);
+  if (s->wrapped)
+    ask_rollback (s->link, NULL, now_us);
+}
+
+void
+plr_send (struct plr *p, struct ses *s, int64_t now_us)
+{
+  struct plc_need need = need_of (s);
+
+  s->proving = false;
+  s->stage = SES_SENT;
+  send_on (p, s, &need, now_us);
+}
+
+static void
+hold (struct ses *s, struct ul *link)
+{
+  s->link = link;
+  link->session = s;
+  link->begin_failed = false;
+  link->instance->n_in_use++;
+}
+
+/* Opens another connection when those on the way won't do for all that
+   wait.  */
+static void
+open_for_waiting (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  if (i->n_opening < MIN (g_queue_get_length (&i->svc->waiting), 2))
+    plr_open_link (p, i, now_us);
+}
+
+void
+plr_start (struct plr *p, struct ses *s, int64_t now_us)
+{
+  struct svc *svc = s->work.svc;
+  struct plc_need need;
+  struct plc_choice choice;
+
+  svc->wanted_us = now_us;
+  if (s->link)
+    {
+      plr_send (p, s, now_us);
+      return;
+    }
+  wait_for_room (s);
+  if (now_us < s->retry_us)
+    return;
+  need = need_of (s);
+  if (need.leader && !svc->leader)
+    {
+      plr_seek_leader (p, svc, now_us);
+      return;
+    }
+  choice = plc_choose (svc, &need, plr_limits (p, svc), now_us);
+  if (choice.verdict == PLC_OPEN)
+    open_for_waiting (p, choice.instance, now_us);
+  if (choice.verdict != PLC_USE)
+    return;
+  stop_waiting (s);
+  hold (s, choice.link);
+  s->proving = false;
+  s->retry_us = 0;
+  send_on (p, s, &need, now_us);
+}
+
+void
+plr_pump (struct plr *p, struct svc *s, int64_t now_us)
+{
+  GList *next;
+
+  for (GList *l = s->waiting.head; l; l = next)
+    {
+      next = l->next;
+      plr_start (p, l->data, now_us);
+    }
+}
+
+void
+plr_release (struct plr *p, struct ses *s, int64_t now_us)
+{
+  struct ul *link = s->link;
+
+  if (!link)
+    return;
+  s->link = NULL;
+  link->instance->n_in_use--;
+  ul_detach (link, s);
+  plr_settle (p, link, now_us);
+}
+
+void
+plr_settle (struct plr *p, struct ul *link, int64_t now_us)
+{
+  struct svc *svc = link->instance->svc;
+
+  if (link->session || link->questions->len > 0 || link->phase != UL_OPEN)
+    return;
+  if (link->doomed || (link->state != STM_IDLE && link->ending))
+    {
+      plr_drop_link (p, link, now_us);
+      return;
+    }
+  if (link->state != STM_IDLE)
+    {
+      link->ending = true;
+      ask_rollback (link, NULL, now_us);
+      return;
+    }
+  link->ending = false;
+  link->idle_since_us = now_us;
+  plr_pump (p, svc, now_us);
+}
+
+void
+plr_probe (struct plr *p, struct ul *link, bool lead, int64_t now_us)
+{
+  struct stm begin = { .kind = lead ? STM_BEGIN : STM_BEGIN_READ };
+
+  ctr_add (p->o.counters, CTR_LINK_PROBES, 1);
+  if (link->instance->question_us == 0)
+    link->instance->question_us = now_us;
+  ul_ask (link, UL_BEGIN, nowhere, &begin, NULL, now_us);
+  ask_rollback (link, NULL, now_us);
+}
--- /dev/null
+++ b/packages/core/poolwatch.c
@@ -0,0 +1,474 @@
+/* Probes of instances, time limits, idle connections and the directory.  */
+#include "poolerint.h"
+
+#include <string.h>
+
+/* Round trips assumed before one was measured.  */
+#define NEAR_US 1000
+#define REGION_US 3000
+#define FAR_US 20000
+/* A service that no session used for so long is left alone.  */
+#define WANTED_US 10000000
+/* A proof of the lead is renewed at this age: half of the least that reads
+   may be old, less a few round trips.  */
+#define PROOF_EVERY_US 400000
+/* Pause between looks for an unknown primary: a few round trips.  */
+#define SEEK_EVERY_US 50000
+/* An instance that owes answers and says nothing for so long is asked a
+   question that needs no slot.  */
+#define SILENT_US 250000
+/* No answer to such a question for so long: dark.  Several losses of a packet
+   on the longest link.  */
+#define DARK_US 700000
+/* Nor to a new connection, whose handshake may queue for a slot.  */
+#define DARK_OPEN_US 1000000
+/* Connections above the share are closed after resting so long.  */
+#define SURPLUS_REST_US 1500000
+/* An instance not listed any more is forgotten after this time.  */
+#define FORGET_US 20000000
+/* The smoothed work time of an instance that isn't used drifts back to the
+   first guess, so that it is tried again.  */
+#define WORK_REST_US 15000
+#define WORK_DRIFT 32
+
+typedef void visit_fn (struct plr *p, struct svc_instance *i, int64_t now_us);
+
+static int64_t
+first_round_trip_us (const struct plr *p, const char *data_centre)
+{
+  const char *own_region;
+  const char *region;
+
+  if (strcmp (data_centre, p->o.data_centre) == 0)
+    return NEAR_US;
+  own_region = g_hash_table_lookup (p->o.regions, p->o.data_centre);
+  region = g_hash_table_lookup (p->o.regions, data_centre);
+  if (own_region && region && strcmp (own_region, region) == 0)
+    return REGION_US;
+  return FAR_US;
+}
+
+/* Drops the connections of I; ALL: also those in use.  */
+static void
+drop_links (struct plr *p, struct svc_instance *i, bool all, int64_t now_us)
+{
+  for (guint n = i->links->len; n > 0; n--)
+    {
+      struct ul *link;
+
+      if (n > i->links->len)
+        continue;
+      link = g_ptr_array_index (i->links, n - 1);
+      if (all || !link->session)
+        plr_drop_link (p, link, now_us);
+    }
+}
+
+/* Puts lone reads that wait for I elsewhere.  */
+static void
+move_reads (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  GList *next;
+
+  for (GList *l = p->active.head; l; l = next)
+    {
+      struct ses *s = l->data;
+
+      next = l->next;
+      if (s->link && s->link->instance == i && !s->writes
+          && !s->work.transaction)
+        plr_retry (p, s, RETRY_INSTANCE_DARK, 0, now_us);
+    }
+}
+
+static void
+turn_dark (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  if (!i->dark)
+    EV (p->o.log, now_us, EV_INSTANCE_DARK, EV_TEXT ("service", i->svc->name),
+        EV_TEXT ("instance", i->entry->id),
+        EV_INT ("asked_us", now_us - i->question_us),
+        EV_INT ("heard_us", now_us - i->heard_us),
+        EV_INT ("links", i->links->len));
+  i->dark = true;
+  move_reads (p, i, now_us);
+  drop_links (p, i, false, now_us);
+  i->question_us = 0;
+  i->open_after_us = now_us + SILENT_US;
+  if (i->svc->leader == i)
+    {
+      i->svc->leader = NULL;
+      i->svc->leaderless_us = now_us;
+    }
+}
+
+/* Asks I something that needs no slot; a new connection where none is free. */
+static void
+ask_life (struct plr *p, struct svc_instance *i, bool lead, int64_t now_us)
+{
+  struct ul *link = plc_idle_link (i);
+
+  if (link)
+    plr_probe (p, link, lead, now_us);
+  else if (i->n_opening == 0 && now_us >= i->open_after_us)
+    plr_open_link (p, i, now_us);
+}
+
+static bool
+owes_answers (const struct svc_instance *i, int64_t now_us)
+{
+  for (guint n = 0; n < i->links->len; n++)
+    {
+      const struct ul *link = g_ptr_array_index (i->links, n);
+      int64_t asked_us = ul_oldest_us (link);
+
+      if (asked_us > 0 && now_us - MAX (asked_us, i->heard_us) > SILENT_US)
+        return true;
+    }
+  return false;
+}
+
+static void
+watch_life (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  int64_t limit_us = i->n_opening > 0 ? DARK_OPEN_US : DARK_US;
+
+  if (i->question_us > 0 && now_us - i->question_us > limit_us)
+    turn_dark (p, i, now_us);
+  else if (i->question_us == 0 && !i->dark && owes_answers (i, now_us))
+    ask_life (p, i, false, now_us);
+  else if ((i->dark || i->refused_us > 0) && i->n_opening == 0
+           && i->missing_since_us == 0 && now_us >= i->open_after_us)
+    plr_open_link (p, i, now_us);
+}
+
+/* Closes connections that rested too long, beyond the share of this VM.  */
+static void
+trim_links (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  struct plc_limits limits = plr_limits (p, i->svc);
+  uint32_t keep = MAX (limits.share, 1);
+
+  for (guint n = i->links->len; n > 0 && i->links->len > keep; n--)
+    {
+      struct ul *link = g_ptr_array_index (i->links, n - 1);
+
+      if (!ul_is_idle (link) || now_us - link->idle_since_us < SURPLUS_REST_US)
+        continue;
+      ctr_add (p->o.counters, CTR_LINKS_TRIMMED, 1);
+      plr_drop_link (p, link, now_us);
+    }
+}
+
+static void
+drift_work (struct svc_instance *i)
+{
+  if (i->n_in_use == 0)
+    i->work_us += (WORK_REST_US - i->work_us) / WORK_DRIFT;
+}
+
+/* Ends a connection to an instance that is to get nothing new, once its
+   transaction is over.  */
+static void
+leave_unusable (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  if (i->dark || svc_is_usable (i, now_us)
+      || (i->svc->leader == i && svc_may_lead_on (i, now_us)))
+    return;
+  drop_links (p, i, false, now_us);
+}
+
+void
+plr_seek_leader (struct plr *p, struct svc *s, int64_t now_us)
+{
+  if (now_us - s->probed_us < SEEK_EVERY_US)
+    return;
+  s->probed_us = now_us;
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+      if (i->question_us == 0 && !i->dark
+          && (i->missing_since_us == 0 || svc_is_lapsed (i, now_us)))
+        ask_life (p, i, true, now_us);
+    }
+}
+
+static void
+watch_leader (struct plr *p, struct svc *s, int64_t now_us)
+{
+  if (!s->leader)
+    plr_seek_leader (p, s, now_us);
+  else if (now_us - svc_proved_us (s) > PROOF_EVERY_US
+           && now_us - s->probed_us > PROOF_EVERY_US / 2)
+    {
+      s->probed_us = now_us;
+      ask_life (p, s->leader, true, now_us);
+    }
+}
+
+static void
+watch_instance (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  watch_life (p, i, now_us);
+  leave_unusable (p, i, now_us);
+  trim_links (p, i, now_us);
+  drift_work (i);
+}
+
+static void
+watch_service (struct plr *p, struct svc *s, int64_t now_us)
+{
+  if (now_us - s->wanted_us > WANTED_US)
+    return;
+  for (guint n = s->instances->len; n > 0; n--)
+    {
+      struct svc_instance *i = g_ptr_array_index (s->instances, n - 1);
+
+      watch_instance (p, i, now_us);
+      if (i->missing_since_us > 0 && i->links->len == 0
+          && now_us - i->missing_since_us > FORGET_US)
+        svc_remove (s, i);
+    }
+  watch_leader (p, s, now_us);
+  plr_pump (p, s, now_us);
+}
+
+static void
+watch_statement (struct plr *p, struct ses *s, int64_t now_us)
+{
+  bool sent = s->stage == SES_SENT && s->link;
+  int64_t since_us = sent ? s->sent_us : s->arrived_us;
+
+  if (now_us - since_us > s->work.timeout_us)
+    plr_expire (p, s, now_us);
+  else if (sent && s->retry_us > 0 && now_us >= s->retry_us)
+    {
+      s->retry_us = 0;
+      plr_send (p, s, now_us);
+    }
+}
+
+/* A session that rests in a transaction holds a scarce connection.  */
+static void
+end_idle_transactions (struct plr *p, int64_t now_us)
+{
+  int64_t limit_us = p->config ? p->config->transaction_idle_us : 0;
+
+  for (GList *l = p->sessions.head; limit_us > 0 && l; l = l->next)
+    {
+      struct ses *s = l->data;
+
+      if (s->stage != SES_RESTING || !s->link
+          || now_us - s->rested_us < limit_us)
+        continue;
+      s->work.lost = true;
+      s->work.idle_end = true;
+      plr_release (p, s, now_us);
+    }
+}
+
+void
+plr_tick (struct plr *p, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer service;
+  GList *next;
+
+  for (GList *l = p->active.head; l; l = next)
+    {
+      next = l->next;
+      watch_statement (p, l->data, now_us);
+    }
+  end_idle_transactions (p, now_us);
+  g_hash_table_iter_init (&iter, p->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    watch_service (p, service, now_us);
+}
+
+void
+plr_ask_status (struct plr *p, struct svc *s, int64_t now_us)
+{
+  struct stm ask = { .kind = STM_STATUS };
+  struct lp nowhere = { 0 };
+
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      struct svc_instance *i = g_ptr_array_index (s->instances, n);
+      struct ul *link = svc_is_usable (i, now_us) ? plc_idle_link (i) : NULL;
+
+      if (!link)
+        continue;
+      ctr_add (p->o.counters, CTR_STATUS_ASKED, 1);
+      ul_ask (link, UL_STATUS, nowhere, &ask, NULL, now_us);
+    }
+}
+
+/* Directory.  */
+
+bool
+plr_configure (struct plr *p, struct dir_config *config, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (config->version <= plr_version (p))
+    {
+      ctr_add (p->o.counters, CTR_CONFIG_STALE, 1);
+      dir_config_free (config);
+      return false;
+    }
+  EV (p->o.log, now_us, EV_CONFIG,
+      EV_INT ("version", (int64_t)config->version),
+      EV_INT ("before", (int64_t)plr_version (p)),
+      EV_INT ("routes", g_hash_table_size (config->routes)),
+      EV_INT ("services", g_hash_table_size (config->services)));
+  ctr_add (p->o.counters, CTR_CONFIG_ADOPTED, 1);
+  dir_config_free (p->config);
+  p->config = config;
+  g_hash_table_iter_init (&iter, config->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct dir_service *d = value;
+      struct svc *s = plr_service (p, d->name);
+
+      s->connections_max = d->connections_max;
+      s->sync = d->sync;
+    }
+  return true;
+}
+
+static void
+log_instance (struct plr *p, const struct dir_instance *d, const char *what,
+              int64_t now_us)
+{
+  EV (p->o.log, now_us, EV_INSTANCE, EV_TEXT ("service", d->service),
+      EV_TEXT ("instance", d->id), EV_TEXT ("what", what),
+      EV_TEXT ("role", d->says_primary ? "primary" : "replica"),
+      EV_TEXT ("state", d->draining ? "draining" : "ready"));
+}
+
+/* A first listing, or the same id at another place: a new process.  */
+static struct svc_instance *
+renew_instance (struct plr *p, struct svc *s, const struct dir_instance *d,
+                int64_t now_us)
+{
+  struct svc_instance *i = svc_find (s, d->id);
+
+  if (i && dir_instance_same_place (i->entry, d))
+    return i;
+  if (i)
+    {
+      drop_links (p, i, true, now_us);
+      svc_remove (s, i);
+    }
+  i = svc_add (s, d);
+  i->round_trip_us = first_round_trip_us (p, d->data_centre);
+  log_instance (p, d, "listed", now_us);
+  return i;
+}
+
+void
+plr_list_instance (struct plr *p, const struct dir_instance *instance,
+                   int64_t now_us)
+{
+  struct svc *s = plr_service (p, instance->service);
+  struct svc_instance *i = renew_instance (p, s, instance, now_us);
+  bool changed = i->entry->draining != instance->draining
+                 || i->entry->says_primary != instance->says_primary
+                 || i->missing_since_us > 0;
+
+  i->missing_since_us = 0;
+  if (changed)
+    log_instance (p, instance, "changed", now_us);
+  dir_instance_free (i->entry);
+  i->entry = dir_instance_copy (instance);
+  if (!instance->draining)
+    i->draining_since_us = 0;
+  else if (i->draining_since_us == 0)
+    i->draining_since_us = now_us;
+  if (!s->leader && instance->says_primary)
+    s->probed_us = 0;
+  if (changed)
+    plr_pump (p, s, now_us);
+}
+
+static void
+mark_missing (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  if (i->missing_since_us > 0)
+    return;
+  i->missing_since_us = now_us;
+  log_instance (p, i->entry, "missing", now_us);
+}
+
+void
+plr_unlist_instance (struct plr *p, const char *id, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_iter_init (&iter, p->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    {
+      struct svc_instance *i = svc_find (service, id);
+
+      if (i)
+        mark_missing (p, i, now_us);
+    }
+}
+
+static void
+for_each_instance (struct plr *p, visit_fn *visit, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_iter_init (&iter, p->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    {
+      struct svc *s = service;
+
+      for (guint n = 0; n < s->instances->len; n++)
+        visit (p, g_ptr_array_index (s->instances, n), now_us);
+    }
+}
+
+void
+plr_end_listing (struct plr *p, GHashTable *listed_ids, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_iter_init (&iter, p->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    {
+      struct svc *s = service;
+
+      for (guint n = 0; n < s->instances->len; n++)
+        {
+          struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+          if (!g_hash_table_contains (listed_ids, i->entry->id))
+            mark_missing (p, i, now_us);
+        }
+    }
+}
+
+/* The time of missing counts from the return of the directory.  */
+static void
+restart_missing (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  (void)p;
+  if (i->missing_since_us > 0)
+    i->missing_since_us = now_us;
+}
+
+void
+plr_directory_state (struct plr *p, bool reachable, int64_t now_us)
+{
+  if (reachable == p->directory_reachable && reachable)
+    return;
+  p->directory_reachable = reachable;
+  for_each_instance (p, restart_missing, now_us);
+}
--- a/packages/core/reason.c
+++ b/packages/core/reason.c
@@ -36,6 +36,18 @@
 #undef C
 };
 
+static const char *const refusal_names[RFS_COUNT] = {
+#define F(sym, name, text) name,
+#include "refusal.def"
+#undef F
+};
+
+static const char *const refusal_texts[RFS_COUNT] = {
+#define F(sym, name, text) text,
+#include "refusal.def"
+#undef F
+};
+
 static const int64_t bucket_bounds_us[CTR_BUCKETS - 1]
     = { 100,   250,    500,    1000,   2500,    5000,    10000,  25000,
         50000, 100000, 250000, 500000, 1000000, 2500000, 5000000 };
@@ -85,6 +97,18 @@
   return retry_texts[retry];
 }
 
+const char *
+rfs_name (enum rfs refusal)
+{
+  return refusal_names[refusal];
+}
+
+const char *
+rfs_text (enum rfs refusal)
+{
+  return refusal_texts[refusal];
+}
+
 void
 ctr_add (struct ctr_set *set, enum ctr counter, uint64_t n)
 {
@@ -171,6 +195,10 @@
     g_string_append_printf (out,
                             "cassiabay_retries_total{reason=\"%s\"} %lu\n",
                             retry_texts[i], atomic_load (&set->retry[i]));
+  for (int32_t i = 0; i < RFS_COUNT; i++)
+    g_string_append_printf (out,
+                            "cassiabay_refusals_total{reason=\"%s\"} %lu\n",
+                            refusal_names[i], atomic_load (&set->refusal[i]));
   for (uint32_t i = 0; i < n_kinds; i++)
     write_histogram (&set->latency[i], out);
 }
--- a/packages/core/reason.h
+++ b/packages/core/reason.h
@@ -34,6 +34,15 @@
   RETRY_COUNT
 };
 
+/* Why a session's statement was refused or failed.  */
+enum rfs
+{
+#define F(sym, name, text) RFS_##sym,
+#include "refusal.def"
+#undef F
+  RFS_COUNT
+};
+
 enum ctr
 {
 #define C(sym, name, help) CTR_##sym,
@@ -72,6 +81,7 @@
 {
   ctr_cell reason[RSN_COUNT];
   ctr_cell retry[RETRY_COUNT];
+  ctr_cell refusal[RFS_COUNT];
   ctr_cell event[CTR_COUNT];
   ctr_cell32 n_kinds;
   struct ctr_histogram latency[CTR_KINDS_MAX];
@@ -84,6 +94,9 @@
 /* Seconds for Retry-After, 0 where waiting does not help.  */
 int32_t rsn_retry_after_s (enum rsn reason);
 const char *rsn_retry_text (enum rsn_retry retry);
+const char *rfs_name (enum rfs refusal);
+/* What the caller reads, with the time to wait where waiting helps.  */
+const char *rfs_text (enum rfs refusal);
 
 void ctr_add (struct ctr_set *set, enum ctr counter, uint64_t n);
 uint64_t ctr_get (const struct ctr_set *set, enum ctr counter);
--- a/packages/core/stm.h
+++ b/packages/core/stm.h
@@ -19,10 +19,15 @@
   STM_PREPARE_WRITE,
   STM_EXECUTE,
   STM_FORGET,
-  STM_MALFORMED
+  STM_MALFORMED,
+  /* Asked by the proxy itself.  */
+  STM_RESET,    /* drops values and prepared statements */
+  STM_STATUS,   /* the instance's account of itself */
+  STM_STEP_DOWN /* a primary of a term below TERM becomes a replica */
 };
 
-/* One statement.  NAME is the session value, or the prepared statement; ARGS
+/* One statement.  ID is NULL for one of the proxy's own.  NAME is the session
+   value, or the prepared statement; ARGS
    is the rest of the text as the caller wrote it (item, item and data, value
    or shape), NULL when there is none.  The texts are borrowed.  */
 struct stm
@@ -31,6 +36,18 @@
   const char *id;
   const char *name;
   const char *args;
+  uint32_t term; /* of STM_STEP_DOWN */
+};
+
+/* An instance's answer to STM_STATUS.  */
+struct stm_status
+{
+  bool primary;
+  uint32_t term;
+  struct lp received; /* may be ahead of what it shows to readers */
+  int64_t lag_ms;
+  int32_t busy;
+  int32_t connections;
 };
 
 /* Why a statement failed.  */
@@ -66,6 +83,7 @@
   size_t rows_len;
   enum stm_state state;
   struct lp position;
+  const struct stm_status *status; /* of STM_STATUS, else NULL */
 };
 
 #endif
--- /dev/null
+++ b/packages/core/uplink.c
@@ -0,0 +1,192 @@
+/* Upstream connections.  */
+#include "uplink.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static const struct lp nowhere;
+
+struct ul *
+ul_new (struct ul_port *port, struct svc_instance *instance, int64_t now_us)
+{
+  struct ul *link = g_new0 (struct ul, 1);
+
+  link->port = port;
+  link->instance = instance;
+  link->phase = UL_OPENING;
+  link->questions = g_array_new (FALSE, TRUE, sizeof (struct ul_question));
+  link->opened_us = now_us;
+  link->idle_since_us = now_us;
+  g_ptr_array_add (instance->links, link);
+  link->handle = port->ops->open (port, link, instance->entry);
+  return link;
+}
+
+void
+ul_free (struct ul *link)
+{
+  link->port->ops->close (link->port, link->handle);
+  g_ptr_array_remove_fast (link->instance->links, link);
+  g_array_free (link->questions, TRUE);
+  if (link->values)
+    g_hash_table_destroy (link->values);
+  if (link->prepared)
+    g_hash_table_destroy (link->prepared);
+  g_free (link);
+}
+
+void
+ul_ask (struct ul *link, enum ul_purpose purpose, struct lp after,
+        const struct stm *statement, void *session, int64_t now_us)
+{
+  struct ul_question q = { 0 };
+
+  q.purpose = purpose;
+  q.proves_lead = purpose == UL_BEGIN && statement->kind == STM_BEGIN;
+  q.asked_us = now_us;
+  q.session = session;
+  g_array_append_val (link->questions, q);
+  link->port->ops->send (link->port, link->handle, after, statement);
+}
+
+bool
+ul_take_question (struct ul *link, struct ul_question *out)
+{
+  if (link->questions->len == 0)
+    return false;
+  *out = g_array_index (link->questions, struct ul_question, 0);
+  g_array_remove_index (link->questions, 0);
+  return true;
+}
+
+void
+ul_detach (struct ul *link, const void *session)
+{
+  for (guint i = 0; i < link->questions->len; i++)
+    {
+      struct ul_question *q
+          = &g_array_index (link->questions, struct ul_question, i);
+
+      if (q->session == session)
+        q->session = NULL;
+    }
+  if (link->session == session)
+    link->session = NULL;
+}
+
+bool
+ul_is_idle (const struct ul *link)
+{
+  return link->phase == UL_OPEN && !link->session && !link->doomed
+         && link->questions->len == 0 && link->state == STM_IDLE;
+}
+
+int64_t
+ul_oldest_us (const struct ul *link)
+{
+  if (link->questions->len == 0)
+    return 0;
+  return g_array_index (link->questions, struct ul_question, 0).asked_us;
+}
+
+uint64_t
+ul_value_sum (const char *name, const char *value)
+{
+  uint64_t seed = XXH3_64bits (name, strlen (name));
+
+  return XXH3_64bits_withSeed (value, strlen (value), seed);
+}
+
+static void
+reset (struct ul *link, int64_t now_us)
+{
+  struct stm s = { .kind = STM_RESET };
+
+  ul_ask (link, UL_SETUP, nowhere, &s, NULL, now_us);
+  if (link->values)
+    g_hash_table_remove_all (link->values);
+  link->values_sum = 0;
+  ul_forget_prepared (link);
+}
+
+/* True when the link holds a value that VALUES doesn't.  */
+static bool
+has_foreign_value (const struct ul *link, GHashTable *values)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  if (!link->values)
+    return false;
+  if (!values)
+    return g_hash_table_size (link->values) > 0;
+  g_hash_table_iter_init (&iter, link->values);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!g_hash_table_contains (values, name))
+      return true;
+  return false;
+}
+
+static void
+set_value (struct ul *link, const char *name, const char *value,
+           int64_t now_us)
+{
+  struct stm s = { .kind = STM_SET, .name = name, .args = value };
+
+  ul_ask (link, UL_SETUP, nowhere, &s, NULL, now_us);
+  if (!link->values)
+    link->values
+        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_hash_table_replace (link->values, g_strdup (name), g_strdup (value));
+}
+
+void
+ul_sync_values (struct ul *link, GHashTable *values, uint64_t sum,
+                int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  if (link->prepared && g_hash_table_size (link->prepared) >= UL_PREPARED_MAX)
+    reset (link, now_us);
+  if (link->values_sum == sum)
+    return;
+  if (has_foreign_value (link, values))
+    reset (link, now_us);
+  if (values)
+    {
+      g_hash_table_iter_init (&iter, values);
+      while (g_hash_table_iter_next (&iter, &name, &value))
+        {
+          const char *held
+              = link->values ? g_hash_table_lookup (link->values, name) : NULL;
+
+          if (!held || strcmp (held, value) != 0)
+            set_value (link, name, value, now_us);
+        }
+    }
+  link->values_sum = sum;
+}
+
+void
+ul_sync_prepared (struct ul *link, uint32_t id, const char *name, bool writes,
+                  const char *shape, int64_t now_us)
+{
+  struct stm s = { .kind = writes ? STM_PREPARE_WRITE : STM_PREPARE_READ,
+                   .name = name,
+                   .args = shape };
+
+  if (!link->prepared)
+    link->prepared = g_hash_table_new (NULL, NULL);
+  if (!g_hash_table_add (link->prepared, GUINT_TO_POINTER (id)))
+    return;
+  ul_ask (link, UL_SETUP, nowhere, &s, NULL, now_us);
+}
+
+void
+ul_forget_prepared (struct ul *link)
+{
+  if (link->prepared)
+    g_hash_table_remove_all (link->prepared);
+}
--- /dev/null
+++ b/packages/proxy/gate.c
@@ -0,0 +1,549 @@
+/* The session pooler on sockets.  */
+#include "gate.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Callers taken in one turn, so that others are served in between.  */
+#define ACCEPT_BATCH 32
+/* Idle time between probes of a silent peer.  */
+#define UPSTREAM_KEEPALIVE_S 1
+#define CALLER_KEEPALIVE_S 10
+
+struct gate
+{
+  struct gate_options o;
+  struct plr *pooler;
+  struct plr_port callers_port; /* must be first of the ports used */
+  struct ul_port upstreams_port;
+  int listen_fd;
+  struct loop_source listener;
+  bool open;
+  GPtrArray *callers;  /* struct caller * */
+  GPtrArray *resuming; /* answered, may have more input */
+  int64_t tick_us;
+};
+
+/* A caller's connection.  */
+struct caller
+{
+  struct gate *gate;
+  struct stream *stream;
+  struct ses *session; /* NULL before its start */
+  bool busy;           /* a statement is under way */
+  bool resuming;
+  bool gone;
+};
+
+/* An upstream connection.  */
+struct up
+{
+  struct gate *gate;
+  struct stream *stream;
+  struct ul *link;
+  bool started;
+  bool failed;
+  struct stm_end end; /* being received */
+  GString *rows;
+  char *signature;
+  char *text;
+};
+
+static struct gate *
+gate_of_callers (struct plr_port *port)
+{
+  return (struct gate *)((char *)port - offsetof (struct gate, callers_port));
+}
+
+static struct gate *
+gate_of_upstreams (struct ul_port *port)
+{
+  return (struct gate *)((char *)port
+                         - offsetof (struct gate, upstreams_port));
+}
+
+/* Cuts the next line, without its end, off DATA.  Returns the bytes used, 0
+   when there is no whole line.  */
+static size_t
+cut_line (char *data, size_t len, char **line, size_t *line_len)
+{
+  char *end = memchr (data, '\n', len);
+  size_t n;
+
+  if (!end)
+    return 0;
+  n = (size_t)(end - data);
+  *line = data;
+  *line_len = n > 0 && data[n - 1] == '\r' ? n - 1 : n;
+  data[*line_len] = '\0';
+  return n + 1;
+}
+
+/* Callers.  */
+
+static void
+resume_later (struct caller *c)
+{
+  if (c->resuming)
+    return;
+  c->resuming = true;
+  g_ptr_array_add (c->gate->resuming, c);
+}
+
+/* C itself is freed at the end of the turn.  */
+static void
+drop_caller (struct caller *c, bool flush)
+{
+  struct gate *g = c->gate;
+  struct ses *session = c->session;
+
+  if (c->gone)
+    return;
+  c->gone = true;
+  c->session = NULL;
+  stream_close (c->stream, flush);
+  g_ptr_array_remove_fast (g->callers, c);
+  if (session)
+    plr_close_session (g->pooler, session, loop_now_us ());
+  resume_later (c);
+}
+
+static void
+on_answer (struct plr_port *port, void *tag, const struct stm_end *end)
+{
+  struct gate *g = gate_of_callers (port);
+  struct caller *c = tag;
+
+  c->busy = false;
+  g->o.codec->ops->write_end (g->o.codec, stream_out (c->stream), end);
+  resume_later (c);
+}
+
+static void
+on_hang_up (struct plr_port *port, void *tag)
+{
+  (void)port;
+  drop_caller (tag, true);
+}
+
+static const struct plr_port_ops callers_ops = { on_answer, on_hang_up };
+
+static void
+start_session (struct caller *c, const char *database, int64_t now_us)
+{
+  struct gate *g = c->gate;
+
+  c->session = plr_open_session (g->pooler, c, database, now_us);
+  if (c->session)
+    {
+      g->o.codec->ops->write_started (g->o.codec, stream_out (c->stream));
+      return;
+    }
+  g->o.codec->ops->write_refused (g->o.codec, stream_out (c->stream),
+                                  SQC_NO_DATABASE, rfs_text (RFS_NO_ROUTE));
+  drop_caller (c, true);
+}
+
+static void
+refuse_caller (struct caller *c, enum sqc code, int64_t now_us)
+{
+  struct gate *g = c->gate;
+
+  EV (g->o.pooler.log, now_us, EV_BAD_INPUT, EV_TEXT ("from", "caller"),
+      EV_TEXT ("code", sqc_name (code)));
+  g->o.codec->ops->write_refused (g->o.codec, stream_out (c->stream), code,
+                                  "not understood");
+  drop_caller (c, true);
+}
+
+static void
+on_caller_line (struct caller *c, char *line, size_t len)
+{
+  struct gate *g = c->gate;
+  struct codec_caller m;
+  /* Taken after the bytes were read: they are not newer.  */
+  int64_t now_us = loop_now_us ();
+
+  g->o.codec->ops->read_caller (g->o.codec, line, len, &m);
+  if (m.kind == CODEC_BYE)
+    drop_caller (c, true);
+  else if (m.kind == CODEC_START && !c->session)
+    start_session (c, m.database, now_us);
+  else if (m.kind == CODEC_STATEMENT && c->session)
+    {
+      c->busy = true;
+      plr_statement (g->pooler, c->session, &m.statement, now_us);
+    }
+  else
+    refuse_caller (c, SQC_MALFORMED, now_us);
+}
+
+static size_t
+on_caller_data (void *arg, char *data, size_t len)
+{
+  struct caller *c = arg;
+  size_t used = 0;
+
+  while (!c->gone && !c->busy && used < len)
+    {
+      char *line;
+      size_t line_len;
+      size_t n = cut_line (data + used, len - used, &line, &line_len);
+
+      if (n == 0)
+        break;
+      used += n;
+      on_caller_line (c, line, line_len);
+    }
+  if (!c->gone && len - used > CODEC_MESSAGE_MAX)
+    refuse_caller (c, SQC_TOO_LARGE, loop_now_us ());
+  return used;
+}
+
+static void
+on_caller_connected (void *arg)
+{
+  (void)arg;
+}
+
+static void
+on_caller_closed (void *arg, bool refused)
+{
+  (void)refused;
+  drop_caller (arg, false);
+}
+
+static const struct stream_ops caller_stream_ops
+    = { on_caller_data, on_caller_connected, on_caller_closed };
+
+static void
+accept_one (struct gate *g, int fd)
+{
+  struct caller *c = g_new0 (struct caller, 1);
+  const struct stream_options options
+      = { &caller_stream_ops, c, GATE_CALLER_SILENT_MS, CALLER_KEEPALIVE_S };
+
+  c->gate = g;
+  c->stream = stream_new (g->o.streams, fd, &options);
+  g_ptr_array_add (g->callers, c);
+}
+
+static void
+on_listener (void *arg, uint32_t events)
+{
+  struct gate *g = arg;
+
+  (void)events;
+  for (int i = 0; i < ACCEPT_BATCH; i++)
+    {
+      int fd
+          = accept4 (g->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+      if (fd < 0)
+        return;
+      if (g->callers->len < g->o.callers_max)
+        accept_one (g, fd);
+      else
+        close (fd);
+    }
+}
+
+/* Upstreams.  */
+
+static size_t on_up_data (void *arg, char *data, size_t len);
+
+static void
+on_up_connected (void *arg)
+{
+  struct up *u = arg;
+  struct gate *g = u->gate;
+
+  g->o.codec->ops->write_start (g->o.codec, stream_out (u->stream),
+                                u->link->instance->entry);
+}
+
+static void
+on_up_closed (void *arg, bool refused)
+{
+  struct up *u = arg;
+
+  /* The core closes the port's side, which frees U.  */
+  plr_link_lost (u->gate->pooler, u->link, refused, loop_now_us ());
+}
+
+static const struct stream_ops up_stream_ops
+    = { on_up_data, on_up_connected, on_up_closed };
+
+static void *
+up_open (struct ul_port *port, struct ul *link,
+         const struct dir_instance *instance)
+{
+  struct gate *g = gate_of_upstreams (port);
+  struct up *u = g_new0 (struct up, 1);
+  const struct stream_options options
+      = { &up_stream_ops, u, GATE_UPSTREAM_SILENT_MS, UPSTREAM_KEEPALIVE_S };
+
+  u->gate = g;
+  u->link = link;
+  u->rows = g_string_new (NULL);
+  u->stream = stream_connect (g->o.streams, instance->host, instance->port,
+                              &options);
+  return u;
+}
+
+static void
+up_send (struct ul_port *port, void *handle, struct lp after,
+         const struct stm *statement)
+{
+  struct gate *g = gate_of_upstreams (port);
+  struct up *u = handle;
+
+  g->o.codec->ops->write_statement (g->o.codec, stream_out (u->stream), after,
+                                    statement);
+}
+
+static void
+up_close (struct ul_port *port, void *handle)
+{
+  struct up *u = handle;
+
+  (void)port;
+  stream_close (u->stream, false);
+  g_string_free (u->rows, TRUE);
+  g_free (u->signature);
+  g_free (u->text);
+  g_free (u);
+}
+
+static const struct ul_port_ops upstream_ops = { up_open, up_send, up_close };
+
+/* The whole answer is here.  Returns false when U is gone.  */
+static bool
+finish_answer (struct up *u, const struct codec_upstream *m)
+{
+  struct gate *g = u->gate;
+  struct stm_end end = u->end;
+  struct stm_status status;
+  GString *rows = u->rows;
+  char *signature = u->signature;
+  char *text = u->text;
+  guint before = u->link->questions->len;
+  struct ul *link = u->link;
+  struct svc_instance *instance = link->instance;
+  bool alive = false;
+
+  end.state = m->state;
+  end.position = m->position;
+  end.rows = rows->str;
+  end.rows_len = rows->len;
+  end.signature = signature;
+  end.text = text;
+  if (before > 0
+      && g_array_index (link->questions, struct ul_question, 0).purpose
+             == UL_STATUS
+      && g->o.codec->ops->read_status (g->o.codec, rows->str, rows->len,
+                                       &status))
+    end.status = &status;
+  u->rows = g_string_new (NULL);
+  u->signature = NULL;
+  u->text = NULL;
+  memset (&u->end, 0, sizeof u->end);
+  plr_link_answer (g->pooler, link, &end, loop_now_us ());
+  for (guint i = 0; i < instance->links->len && !alive; i++)
+    alive = g_ptr_array_index (instance->links, i) == link;
+  g_string_free (rows, TRUE);
+  g_free (signature);
+  g_free (text);
+  return alive;
+}
+
+/* Returns false when U is gone.  */
+static bool
+on_started_line (struct up *u, const struct codec_upstream *m)
+{
+  struct gate *g = u->gate;
+  struct ul *link = u->link;
+
+  if (m->kind == CODEC_READY)
+    {
+      u->started = true;
+      plr_link_opened (g->pooler, link, m->position, loop_now_us ());
+      return true;
+    }
+  plr_link_refused (g->pooler, link,
+                    m->kind == CODEC_ERROR ? m->code : SQC_FAILED,
+                    loop_now_us ());
+  return false;
+}
+
+static bool
+on_up_line (struct up *u, char *line, size_t len)
+{
+  struct gate *g = u->gate;
+  struct codec_upstream m;
+
+  g->o.codec->ops->read_upstream (g->o.codec, line, len, &m);
+  if (!u->started)
+    return on_started_line (u, &m);
+  switch (m.kind)
+    {
+    case CODEC_ROW:
+      g_string_append_len (u->rows, line, (gssize)len);
+      g_string_append (u->rows, "\r\n");
+      return true;
+    case CODEC_DONE:
+      u->end.ok = true;
+      g_free (u->signature);
+      u->signature = g_strdup (m.signature);
+      return true;
+    case CODEC_ERROR:
+      u->end.ok = false;
+      u->end.code = m.code;
+      g_free (u->text);
+      u->text = g_strdup (m.text);
+      return true;
+    case CODEC_READY:
+      return finish_answer (u, &m);
+    case CODEC_BROKEN:
+      break;
+    }
+  plr_link_lost (g->pooler, u->link, false, loop_now_us ());
+  return false;
+}
+
+static size_t
+on_up_data (void *arg, char *data, size_t len)
+{
+  struct up *u = arg;
+  struct gate *g = u->gate;
+  size_t used = 0;
+
+  while (used < len)
+    {
+      char *line;
+      size_t line_len;
+      size_t n = cut_line (data + used, len - used, &line, &line_len);
+
+      if (n == 0)
+        break;
+      used += n;
+      if (!on_up_line (u, line, line_len))
+        return len;
+    }
+  if (len - used + u->rows->len > CODEC_MESSAGE_MAX)
+    {
+      plr_link_lost (g->pooler, u->link, false, loop_now_us ());
+      return len;
+    }
+  return used;
+}
+
+/* Public.  */
+
+struct gate *
+gate_new (const struct gate_options *options, GError **error)
+{
+  struct gate *g = g_new0 (struct gate, 1);
+
+  g->o = *options;
+  g->callers_port.ops = &callers_ops;
+  g->upstreams_port.ops = &upstream_ops;
+  g->o.pooler.callers = &g->callers_port;
+  g->o.pooler.upstreams = &g->upstreams_port;
+  g->callers = g_ptr_array_new ();
+  g->resuming = g_ptr_array_new ();
+  g->listen_fd = stream_listen (options->listen, error);
+  if (g->listen_fd < 0)
+    {
+      gate_free (g);
+      return NULL;
+    }
+  g->listener.fd = g->listen_fd;
+  g->listener.arg = g;
+  g->pooler = plr_new (&g->o.pooler, loop_now_us ());
+  return g;
+}
+
+void
+gate_free (struct gate *g)
+{
+  if (!g)
+    return;
+  while (g->callers->len > 0)
+    drop_caller (g_ptr_array_index (g->callers, 0), false);
+  for (guint i = 0; i < g->resuming->len; i++)
+    g_free (g_ptr_array_index (g->resuming, i));
+  if (g->pooler)
+    plr_free (g->pooler);
+  if (g->open)
+    loop_remove (g->o.loop, &g->listener);
+  if (g->listen_fd >= 0)
+    close (g->listen_fd);
+  g_ptr_array_free (g->callers, TRUE);
+  g_ptr_array_free (g->resuming, TRUE);
+  g_free (g);
+}
+
+struct plr *
+gate_pooler (struct gate *g)
+{
+  return g->pooler;
+}
+
+void
+gate_open (struct gate *g)
+{
+  if (g->open)
+    return;
+  g->open = true;
+  g->listener.fn = on_listener;
+  loop_set (g->o.loop, &g->listener, EPOLLIN);
+}
+
+void
+gate_close (struct gate *g)
+{
+  if (!g->open)
+    return;
+  g->open = false;
+  loop_remove (g->o.loop, &g->listener);
+  close (g->listen_fd);
+  g->listen_fd = -1;
+}
+
+static void
+resume_callers (struct gate *g)
+{
+  while (g->resuming->len > 0)
+    {
+      struct caller *c = g_ptr_array_index (g->resuming, g->resuming->len - 1);
+
+      g_ptr_array_set_size (g->resuming, (gint)g->resuming->len - 1);
+      c->resuming = false;
+      if (c->gone)
+        g_free (c);
+      else
+        stream_resume (c->stream);
+    }
+}
+
+int64_t
+gate_due_us (const struct gate *g)
+{
+  return g->tick_us;
+}
+
+void
+gate_turn (struct gate *g, int64_t now_us)
+{
+  resume_callers (g);
+  if (now_us >= g->tick_us)
+    {
+      plr_tick (g->pooler, now_us);
+      g->tick_us = now_us + PLR_TICK_US;
+    }
+  resume_callers (g);
+}
--- a/packages/proxy/main.c
+++ b/packages/proxy/main.c
@@ -2,6 +2,7 @@
    the engine until it is told to stop.  */
 #include "engine.h"
 #include "logging.h"
+#include "platform.h"
 #include "settings.h"
 
 #include <curl/curl.h>
@@ -16,6 +17,7 @@
 static const struct option options[]
     = { { "config", required_argument, NULL, 'c' },
         { "check", no_argument, NULL, 'k' },
+        { "platform", no_argument, NULL, 'p' },
         { "help", no_argument, NULL, 'h' },
         { "version", no_argument, NULL, 'V' },
         { NULL, 0, NULL, 0 } };
@@ -23,17 +25,21 @@
 static void
 print_help (FILE *out)
 {
-  fputs ("Usage: cassiabayd --config FILE [--check]\n"
-         "Database proxy with session consistency.\n"
-         "\n"
-         "  --config FILE  settings (YAML); see docs/OPERATORS.md\n"
-         "  --check        validate the settings and stop\n"
-         "  --help         this text\n"
-         "  --version      the version\n"
-         "\n"
-         "Exit status: 0 after a graceful stop, 1 when it could not start,\n"
-         "2 for a wrong command line or wrong settings.\n",
-         out);
+  fputs (
+      "Usage: cassiabayd --config FILE [--check]\n"
+      "       cassiabayd --platform [--config FILE] [--check]\n"
+      "Database proxy with session consistency.\n"
+      "\n"
+      "  --config FILE  settings (YAML); see docs/OPERATORS.md\n"
+      "  --platform     run as the platform's session pooler; its settings\n"
+      "                 file is the one that the platform names\n"
+      "  --check        validate the settings and stop\n"
+      "  --help         this text\n"
+      "  --version      the version\n"
+      "\n"
+      "Exit status: 0 after a graceful stop, 1 when it could not start,\n"
+      "2 for a wrong command line or wrong settings.\n",
+      out);
 }
 
 static struct settings *
@@ -65,11 +71,12 @@
 {
   const char *file = NULL;
   bool check = false;
+  bool platform = false;
   struct settings *s;
   int option;
   int status;
 
-  while ((option = getopt_long (argc, argv, "c:khV", options, NULL)) != -1)
+  while ((option = getopt_long (argc, argv, "c:kphV", options, NULL)) != -1)
     switch (option)
       {
       case 'c':
@@ -78,6 +85,9 @@
       case 'k':
         check = true;
         break;
+      case 'p':
+        platform = true;
+        break;
       case 'h':
         print_help (stdout);
         return EXIT_SUCCESS;
@@ -88,13 +98,15 @@
         print_help (stderr);
         return EXIT_USAGE;
       }
-  if (!file || optind != argc)
+  if ((!file && !platform) || optind != argc)
     {
       print_help (stderr);
       return EXIT_USAGE;
     }
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     return EXIT_FAILURE;
+  if (platform)
+    return platform_run (file, check);
   s = load_settings (file);
   if (!s)
     return EXIT_USAGE;
