Succession of primaries, by claims in the store and votes of peers

Nobody replaced a lost primary. core/succeed.c judges, asks the peers whether they reach it, surveys the replicas, claims by compare-and-swap (the revision is the fencing token) and has the furthest replica promoted; a leaving primary steps down first. proxy/cluster.c links the proxies over ZeroMQ and passes the directory on to one that the store turns away.

--- /dev/null
+++ b/packages/core/gossip.c
@@ -0,0 +1,158 @@
+/* Messages between session poolers.  */
+#include "gossip.h"
+
+#include "packcheck.h"
+#include <msgpack.h>
+#include <string.h>
+
+#define VERSION 1
+/* version, kind, service, instance, vote, revision, items */
+#define FIELDS 7
+#define ITEM_FIELDS 3
+
+static int
+write_bytes (void *data, const char *buffer, size_t len)
+{
+  g_byte_array_append (data, (const guint8 *)buffer, (guint)len);
+  return 0;
+}
+
+static void
+pack_text (msgpack_packer *pk, const char *text)
+{
+  if (text)
+    msgpack_pack_str_with_body (pk, text, strlen (text));
+  else
+    msgpack_pack_nil (pk);
+}
+
+void
+gsp_encode (const struct gsp_message *m, GByteArray *out)
+{
+  msgpack_packer pk;
+
+  msgpack_packer_init (&pk, out, write_bytes);
+  msgpack_pack_array (&pk, FIELDS);
+  msgpack_pack_uint64 (&pk, VERSION);
+  msgpack_pack_uint64 (&pk, (uint64_t)m->kind);
+  pack_text (&pk, m->service);
+  pack_text (&pk, m->instance);
+  msgpack_pack_uint64 (&pk, m->vote);
+  msgpack_pack_uint64 (&pk, m->revision);
+  msgpack_pack_array (&pk, m->n_items);
+  for (uint32_t i = 0; i < m->n_items; i++)
+    {
+      msgpack_pack_array (&pk, ITEM_FIELDS);
+      pack_text (&pk, m->items[i].key);
+      pack_text (&pk, m->items[i].value);
+      msgpack_pack_uint64 (&pk, m->items[i].revision);
+    }
+}
+
+static bool
+read_text (const msgpack_object *o, char **out)
+{
+  *out = NULL;
+  if (o->type == MSGPACK_OBJECT_NIL)
+    return true;
+  if (o->type != MSGPACK_OBJECT_STR || o->via.str.size > GSP_TEXT_MAX
+      || memchr (o->via.str.ptr, '\0', o->via.str.size))
+    return false;
+  *out = g_strndup (o->via.str.ptr, o->via.str.size);
+  return true;
+}
+
+static bool
+read_number (const msgpack_object *o, uint64_t *out)
+{
+  if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return false;
+  *out = o->via.u64;
+  return true;
+}
+
+static bool
+read_item (const msgpack_object *o, struct gsp_item *item)
+{
+  const msgpack_object *f;
+
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < ITEM_FIELDS)
+    return false;
+  f = o->via.array.ptr;
+  return read_text (&f[0], &item->key) && item->key
+         && read_text (&f[1], &item->value)
+         && read_number (&f[2], &item->revision);
+}
+
+static bool
+read_items (const msgpack_object *o, struct gsp_message *out)
+{
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > GSP_ITEMS_MAX)
+    return false;
+  out->items = g_new0 (struct gsp_item, o->via.array.size + 1);
+  for (uint32_t i = 0; i < o->via.array.size; i++)
+    {
+      out->n_items = i + 1;
+      if (!read_item (&o->via.array.ptr[i], &out->items[i]))
+        return false;
+    }
+  return true;
+}
+
+static bool
+read_message (const msgpack_object *o, struct gsp_message *out)
+{
+  const msgpack_object *f;
+  uint64_t version;
+  uint64_t kind;
+  uint64_t vote;
+
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < FIELDS)
+    return false;
+  f = o->via.array.ptr;
+  if (!read_number (&f[0], &version) || version != VERSION
+      || !read_number (&f[1], &kind) || kind == 0 || kind >= GSP_KIND_END
+      || !read_text (&f[2], &out->service)
+      || !read_text (&f[3], &out->instance) || !read_number (&f[4], &vote)
+      || !read_number (&f[5], &out->revision))
+    return false;
+  out->kind = (enum gsp_kind)kind;
+  out->vote = (uint32_t)MIN (vote, UINT32_MAX);
+  if (out->kind <= GSP_VOTE && (!out->service || !out->instance))
+    return false;
+  return read_items (&f[6], out);
+}
+
+bool
+gsp_decode (const char *data, size_t len, struct gsp_message *out)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  bool good = false;
+
+  memset (out, 0, sizeof *out);
+  if (!pkc_is_bounded (data, len))
+    return false;
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, data, len, &offset)
+      == MSGPACK_UNPACK_SUCCESS)
+    good = read_message (&unpacked.data, out);
+  msgpack_unpacked_destroy (&unpacked);
+  if (!good)
+    gsp_clear (out);
+  return good;
+}
+
+void
+gsp_clear (struct gsp_message *m)
+{
+  for (uint32_t i = 0; i < m->n_items; i++)
+    {
+      g_free (m->items[i].key);
+      g_free (m->items[i].value);
+    }
+  g_free (m->items);
+  g_free (m->service);
+  g_free (m->instance);
+  memset (m, 0, sizeof *m);
+}
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -332,6 +332,7 @@
   if (!end->ok || !end->status)
     return;
   i->received = end->status->received;
+  i->status_term = MAX (i->status_term, end->status->term);
   i->status_us = now_us;
 }
 
@@ -385,8 +386,12 @@
     case UL_STATUS:
       on_status (link, end, now_us);
       break;
-    case UL_END:
     case UL_STEP_DOWN:
+      on_status (link, end, now_us);
+      if (end->ok)
+        plr_note_denied (p, link->instance, now_us);
+      break;
+    case UL_END:
       break;
     }
   plr_settle (p, link, now_us);
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -101,7 +101,11 @@
 
 /* For the succession: the groups known.  */
 GHashTable *plr_services (struct plr *p);
-/* Asks every usable replica of S for its status.  */
+/* Asks every usable instance of S for its status.  */
 void plr_ask_status (struct plr *p, struct svc *s, int64_t now_us);
+/* Looks for the primary of S now.  */
+void plr_seek (struct plr *p, struct svc *s, int64_t now_us);
+/* Tells the primary to lead no more.  False when no connection is free.  */
+bool plr_step_down (struct plr *p, struct svc_instance *i, int64_t now_us);
 
 #endif
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -110,7 +110,8 @@
 
   if (link)
     plr_probe (p, link, lead, now_us);
-  else if (i->n_opening == 0 && now_us >= i->open_after_us)
+  else if (i->n_opening == 0 && now_us >= i->open_after_us
+           && (!lead || i->links->len == 0))
     plr_open_link (p, i, now_us);
 }
 
@@ -304,6 +305,27 @@
     }
 }
 
+void
+plr_seek (struct plr *p, struct svc *s, int64_t now_us)
+{
+  plr_seek_leader (p, s, now_us);
+}
+
+bool
+plr_step_down (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  struct lp nowhere = { 0 };
+  struct ul *link = plc_idle_link (i);
+  struct stm ask = { .kind = STM_STEP_DOWN };
+
+  (void)p;
+  if (!link || !lp_is_known (i->received))
+    return false;
+  ask.term = i->status_term + 1;
+  ul_ask (link, UL_STEP_DOWN, nowhere, &ask, NULL, now_us);
+  return true;
+}
+
 /* Directory.  */
 
 bool
--- /dev/null
+++ b/packages/core/succeed.c
@@ -0,0 +1,636 @@
+/* Succession of primaries.  */
+#include "succeed.h"
+
+#include "rendezvous.h"
+#include <string.h>
+
+/* Connections refused for so long: the process is gone, not just its backlog
+   full.  */
+#define REFUSED_US 250000
+/* All instances deny the lead for so long: longer than a promotion under way
+   takes to show.  */
+#define LEADERLESS_US 1200000
+/* Without any trace of a primary, after start.  */
+#define UNKNOWN_US 2500000
+/* Peers' votes are counted after: two round trips of the longest link.  */
+#define VOTE_US 120000
+/* Status answers are waited for: the same, and a slot.  */
+#define SURVEY_US 100000
+#define SURVEY_EVERY_US 40000
+/* A primary that stepped down is caught up with within: several times the
+   usual lag.  */
+#define CATCH_UP_US 400000
+/* Another proxy that holds a fresh claim is given this time to act.  */
+#define OTHERS_US 1800000
+/* Proxies act one after the other, so that mostly one claims.  */
+#define RANK_US 100000
+#define RANK_MAX 5
+/* A promotion shows within: its own time and a few questions.  */
+#define SETTLE_US 2500000
+/* Before the next try after one that failed.  */
+#define PAUSE_US 300000
+/* Promotion calls with one token.  */
+#define PROMOTE_TRIES 4
+#define PROMOTE_AGAIN_US 150000
+/* A replica counts as answering when heard within.  */
+#define HEARD_US 1500000
+/* A doubt that peers dispelled is raised again after.  */
+#define SPARED_US 400000
+/* One proxy in so many that misses the primary is enough to move it to where
+   all reach it.  */
+#define MISSED_PART 3
+
+enum state
+{
+  CALM,
+  ASKING,
+  SURVEYING,
+  CLAIMING,
+  STEPPING,
+  PROMOTING,
+  PROMOTING_AGAIN,
+  SETTLING
+};
+
+/* The succession of one service.  */
+struct seat
+{
+  struct suc *suc;
+  struct svc *svc;
+  enum state state;
+  int64_t since_us; /* of the state */
+  int64_t not_before_us;
+  int64_t ready_us; /* since then a verdict stands, for the order of ranks */
+  int64_t surveyed_us;
+  char *primary; /* id of the last one proved or listed */
+  char *target;
+  uint64_t claim;   /* revision it stands at, 0 = none */
+  int64_t claim_us; /* when that was learned */
+  bool claim_is_own;
+  uint64_t token;
+  uint32_t tries;
+  uint32_t reached;
+  uint32_t missed;
+  const char *cause;
+  bool planned;
+};
+
+struct suc
+{
+  struct suc_options o;
+  GHashTable *seats; /* service -> struct seat * */
+  int64_t started_us;
+};
+
+static void
+free_seat (gpointer data)
+{
+  struct seat *seat = data;
+
+  g_free (seat->primary);
+  g_free (seat->target);
+  g_free (seat);
+}
+
+struct suc *
+suc_new (const struct suc_options *options)
+{
+  struct suc *s = g_new0 (struct suc, 1);
+
+  s->o = *options;
+  s->seats
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_seat);
+  return s;
+}
+
+void
+suc_free (struct suc *s)
+{
+  if (!s)
+    return;
+  g_hash_table_destroy (s->seats);
+  g_free (s);
+}
+
+static struct seat *
+seat_of (struct suc *s, const char *service)
+{
+  struct seat *seat = g_hash_table_lookup (s->seats, service);
+
+  if (!seat)
+    {
+      seat = g_new0 (struct seat, 1);
+      seat->suc = s;
+      g_hash_table_insert (s->seats, g_strdup (service), seat);
+    }
+  if (!seat->svc)
+    seat->svc = g_hash_table_lookup (plr_services (s->o.pooler), service);
+  return seat;
+}
+
+static void
+enter (struct seat *seat, enum state state, int64_t now_us)
+{
+  seat->state = state;
+  seat->since_us = now_us;
+}
+
+static void
+calm_down (struct seat *seat, int64_t pause_us, int64_t now_us)
+{
+  enter (seat, CALM, now_us);
+  seat->not_before_us = now_us + pause_us;
+}
+
+static void
+log_judgement (struct seat *seat, const char *what, int64_t now_us)
+{
+  EV (seat->suc->o.log, now_us, EV_JUDGEMENT,
+      EV_TEXT ("service", seat->svc->name), EV_TEXT ("primary", seat->primary),
+      EV_TEXT ("what", what), EV_TEXT ("cause", seat->cause),
+      EV_INT ("reached", seat->reached), EV_INT ("missed", seat->missed),
+      EV_INT ("claim", (int64_t)seat->claim));
+}
+
+/* Evidence.  */
+
+static bool
+is_candidate (const struct svc_instance *i, const struct svc_instance *primary,
+              int64_t now_us)
+{
+  return i != primary && svc_is_usable (i, now_us) && i->refused_us == 0
+         && i->heard_us > 0 && now_us - i->heard_us < HEARD_US;
+}
+
+/* The instance that leads, or should: the last one proved, else the one that
+   the directory calls primary.  */
+static struct svc_instance *
+primary_of (struct seat *seat)
+{
+  struct svc *svc = seat->svc;
+  struct svc_instance *listed = NULL;
+
+  if (svc->leader)
+    {
+      if (g_strcmp0 (seat->primary, svc->leader->entry->id) != 0)
+        {
+          g_free (seat->primary);
+          seat->primary = g_strdup (svc->leader->entry->id);
+        }
+      return svc->leader;
+    }
+  if (seat->primary)
+    {
+      struct svc_instance *last = svc_find (svc, seat->primary);
+
+      if (last)
+        return last;
+    }
+  for (guint n = 0; n < svc->instances->len; n++)
+    {
+      struct svc_instance *i = g_ptr_array_index (svc->instances, n);
+
+      if (i->entry->says_primary)
+        listed = i;
+    }
+  if (listed)
+    {
+      g_free (seat->primary);
+      seat->primary = g_strdup (listed->entry->id);
+    }
+  return listed;
+}
+
+static struct suc_evidence
+gather (struct seat *seat, const struct svc_instance *primary, int64_t now_us)
+{
+  struct svc *svc = seat->svc;
+  struct suc_evidence e = { 0 };
+
+  for (guint n = 0; n < svc->instances->len; n++)
+    e.candidates += is_candidate (g_ptr_array_index (svc->instances, n),
+                                  primary, now_us)
+                        ? 1
+                        : 0;
+  if (svc->leaderless_us == 0 && !svc->leader)
+    svc->leaderless_us = now_us;
+  e.leaderless_us = svc->leader ? 0 : now_us - svc->leaderless_us;
+  e.known = primary != NULL;
+  if (!primary)
+    return e;
+  e.proved = svc->leader == primary;
+  e.listed = primary->missing_since_us == 0 || svc_is_lapsed (primary, now_us);
+  e.draining = primary->entry->draining;
+  e.dark = primary->dark;
+  e.refused_us = primary->refused_us > 0 ? now_us - primary->refused_us : 0;
+  e.denied = !e.proved && primary->denied_us > primary->led_us
+             && primary->heard_us > 0 && now_us - primary->heard_us < HEARD_US;
+  return e;
+}
+
+enum suc_verdict
+suc_judge (const struct suc_evidence *e)
+{
+  if (e->candidates == 0)
+    return SUC_KEEP;
+  if (!e->known)
+    return e->leaderless_us > UNKNOWN_US ? SUC_REPLACE : SUC_KEEP;
+  if (e->draining || !e->listed)
+    return SUC_REPLACE;
+  if (e->dark || e->refused_us > REFUSED_US)
+    return SUC_ASK;
+  if (e->denied && e->leaderless_us > LEADERLESS_US)
+    return SUC_REPLACE;
+  return SUC_KEEP;
+}
+
+static const char *
+cause_of (const struct suc_evidence *e)
+{
+  if (!e->known)
+    return "unknown";
+  if (e->draining)
+    return "draining";
+  if (!e->listed)
+    return "unlisted";
+  if (e->dark)
+    return "dark";
+  if (e->refused_us > REFUSED_US)
+    return "refused";
+  return "denied";
+}
+
+bool
+suc_count_votes (uint32_t reached, uint32_t missed)
+{
+  /* One's own doubt is among the missed: alone it moves nothing.  */
+  if (reached == 0)
+    return true;
+  return missed >= 2 && missed * MISSED_PART >= reached + missed;
+}
+
+static struct lp
+known_position (const struct svc_instance *i)
+{
+  return lp_max (i->received, i->position);
+}
+
+struct svc_instance *
+suc_choose (const struct svc *s, const struct svc_instance *primary,
+            int64_t now_us)
+{
+  struct svc_instance *best = NULL;
+
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+      if (!is_candidate (i, primary, now_us) || now_us < i->unfit_until_us)
+        continue;
+      if (!best || lp_compare (known_position (i), known_position (best)) > 0)
+        best = i;
+    }
+  return best;
+}
+
+/* Steps.  */
+
+static uint32_t
+rank_of (const struct suc *s, const char *service, GHashTable *vms)
+{
+  uint64_t own = rdv_weight (service, s->o.vm);
+  uint32_t rank = 0;
+  GHashTableIter iter;
+  gpointer vm;
+
+  g_hash_table_iter_init (&iter, vms);
+  while (g_hash_table_iter_next (&iter, &vm, NULL))
+    if (strcmp (vm, s->o.vm) != 0 && rdv_weight (service, vm) > own)
+      rank++;
+  return MIN (rank, RANK_MAX);
+}
+
+/* Whose turn it is: the holder of the claim first, then by rank; nobody while
+   another one has just claimed.  */
+static bool
+is_turn (struct seat *seat, GHashTable *vms, int64_t now_us)
+{
+  uint32_t rank
+      = seat->claim_is_own ? 0 : 1 + rank_of (seat->suc, seat->svc->name, vms);
+
+  if (seat->claim > 0 && !seat->claim_is_own
+      && now_us - seat->claim_us < OTHERS_US)
+    return false;
+  if (seat->ready_us == 0)
+    seat->ready_us = now_us;
+  return now_us - seat->ready_us >= (int64_t)rank * RANK_US;
+}
+
+static void
+survey (struct seat *seat, int64_t now_us)
+{
+  if (now_us - seat->surveyed_us < SURVEY_EVERY_US)
+    return;
+  seat->surveyed_us = now_us;
+  plr_ask_status (seat->suc->o.pooler, seat->svc, now_us);
+}
+
+static void
+start_survey (struct seat *seat, const struct suc_evidence *e, int64_t now_us)
+{
+  seat->planned = e->draining || !e->listed;
+  seat->cause = cause_of (e);
+  log_judgement (seat, "replace", now_us);
+  enter (seat, SURVEYING, now_us);
+  survey (seat, now_us);
+}
+
+static void
+on_calm (struct seat *seat, const struct suc_evidence *e, GHashTable *vms,
+         int64_t now_us)
+{
+  enum suc_verdict verdict = suc_judge (e);
+
+  if (verdict == SUC_KEEP)
+    seat->ready_us = 0;
+  if (verdict == SUC_KEEP || now_us < seat->not_before_us
+      || !is_turn (seat, vms, now_us))
+    return;
+  if (verdict == SUC_REPLACE)
+    {
+      start_survey (seat, e, now_us);
+      return;
+    }
+  seat->reached = 0;
+  seat->missed = 1;
+  seat->cause = cause_of (e);
+  enter (seat, ASKING, now_us);
+  seat->suc->o.port->ops->ask (seat->suc->o.port, seat->svc->name,
+                               seat->primary);
+}
+
+static void
+on_asking (struct seat *seat, const struct suc_evidence *e, int64_t now_us)
+{
+  if (now_us - seat->since_us < VOTE_US)
+    return;
+  if (suc_judge (e) == SUC_KEEP)
+    calm_down (seat, 0, now_us);
+  else if (suc_count_votes (seat->reached, seat->missed))
+    start_survey (seat, e, now_us);
+  else
+    {
+      ctr_add (seat->suc->o.counters, CTR_SUCCESSIONS_SPARED, 1);
+      log_judgement (seat, "spare", now_us);
+      calm_down (seat, SPARED_US, now_us);
+    }
+}
+
+static void
+claim (struct seat *seat, const struct svc_instance *target, int64_t now_us)
+{
+  struct suc *s = seat->suc;
+
+  g_free (seat->target);
+  seat->target = g_strdup (target->entry->id);
+  enter (seat, CLAIMING, now_us);
+  s->o.port->ops->claim (s->o.port, seat->svc->name, seat->claim,
+                         seat->target);
+}
+
+static void
+on_surveying (struct seat *seat, const struct svc_instance *primary,
+              int64_t now_us)
+{
+  struct svc_instance *target;
+
+  survey (seat, now_us);
+  if (now_us - seat->since_us < SURVEY_US)
+    return;
+  target = suc_choose (seat->svc, primary, now_us);
+  if (target)
+    claim (seat, target, now_us);
+  else
+    calm_down (seat, PAUSE_US, now_us);
+}
+
+static void
+promote (struct seat *seat, int64_t now_us)
+{
+  struct suc *s = seat->suc;
+
+  seat->tries++;
+  EV (s->o.log, now_us, EV_PROMOTE, EV_TEXT ("service", seat->svc->name),
+      EV_TEXT ("instance", seat->target),
+      EV_INT ("token", (int64_t)seat->token), EV_INT ("tries", seat->tries),
+      EV_TEXT ("cause", seat->cause));
+  ctr_add (s->o.counters, CTR_PROMOTIONS_ORDERED, 1);
+  enter (seat, PROMOTING, now_us);
+  s->o.port->ops->promote (s->o.port, seat->svc->name, seat->target,
+                           seat->token);
+}
+
+/* A primary that leaves as planned steps down first, so that the replicas can
+   catch up with all it has acknowledged.  */
+static void
+on_stepping (struct seat *seat, const struct svc_instance *primary,
+             int64_t now_us)
+{
+  struct svc_instance *target;
+  bool stepped = primary && primary->denied_us >= seat->since_us;
+
+  survey (seat, now_us);
+  target = suc_choose (seat->svc, primary, now_us);
+  if (!target || now_us - seat->since_us > CATCH_UP_US
+      || (stepped
+          && lp_compare (known_position (target), known_position (primary))
+                 >= 0))
+    {
+      if (target && strcmp (target->entry->id, seat->target) != 0)
+        {
+          g_free (seat->target);
+          seat->target = g_strdup (target->entry->id);
+        }
+      promote (seat, now_us);
+    }
+}
+
+static void
+on_settling (struct seat *seat, int64_t now_us)
+{
+  struct svc_instance *leader = seat->svc->leader;
+
+  if (leader && strcmp (leader->entry->id, seat->target) == 0)
+    calm_down (seat, 0, now_us);
+  else if (now_us - seat->since_us > SETTLE_US)
+    calm_down (seat, 0, now_us);
+  else
+    plr_seek (seat->suc->o.pooler, seat->svc, now_us);
+}
+
+static void
+tick_seat (struct seat *seat, GHashTable *vms, int64_t now_us)
+{
+  struct svc_instance *primary = primary_of (seat);
+  struct suc_evidence e = gather (seat, primary, now_us);
+
+  switch (seat->state)
+    {
+    case CALM:
+      on_calm (seat, &e, vms, now_us);
+      break;
+    case ASKING:
+      on_asking (seat, &e, now_us);
+      break;
+    case SURVEYING:
+      on_surveying (seat, primary, now_us);
+      break;
+    case STEPPING:
+      on_stepping (seat, primary, now_us);
+      break;
+    case PROMOTING_AGAIN:
+      if (now_us - seat->since_us > PROMOTE_AGAIN_US)
+        promote (seat, now_us);
+      break;
+    case SETTLING:
+      on_settling (seat, now_us);
+      break;
+    case CLAIMING:
+    case PROMOTING:
+      break; /* the port reports the end */
+    }
+}
+
+void
+suc_tick (struct suc *s, GHashTable *vms, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  if (s->started_us == 0)
+    s->started_us = now_us;
+  g_hash_table_iter_init (&iter, plr_services (s->o.pooler));
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      struct seat *seat = seat_of (s, name);
+
+      if (seat->svc->instances->len > 0)
+        tick_seat (seat, vms, now_us);
+    }
+}
+
+/* Events.  */
+
+void
+suc_note_claim (struct suc *s, const char *service, const char *vm,
+                uint64_t revision, int64_t now_us)
+{
+  struct seat *seat = seat_of (s, service);
+
+  if (revision <= seat->claim)
+    return;
+  seat->claim = revision;
+  seat->claim_us = now_us;
+  seat->claim_is_own = strcmp (vm, s->o.vm) == 0;
+}
+
+static void
+act (struct seat *seat, uint64_t token, int64_t now_us)
+{
+  struct svc_instance *primary;
+
+  seat->token = token;
+  seat->tries = 0;
+  primary = primary_of (seat);
+  if (seat->planned && primary && seat->svc->leader == primary
+      && plr_step_down (seat->suc->o.pooler, primary, now_us))
+    enter (seat, STEPPING, now_us);
+  else
+    promote (seat, now_us);
+}
+
+void
+suc_claimed (struct suc *s, const char *service, uint64_t token, bool settled,
+             int64_t now_us)
+{
+  struct seat *seat = seat_of (s, service);
+
+  EV (s->o.log, now_us, EV_CLAIM, EV_TEXT ("service", service),
+      EV_TEXT ("instance", seat->target), EV_INT ("token", (int64_t)token),
+      EV_TEXT ("outcome", token > 0 ? "won"
+                          : settled ? "taken by another"
+                                    : "the store did not answer"));
+  if (seat->state != CLAIMING)
+    return;
+  if (token > 0)
+    {
+      ctr_add (s->o.counters, CTR_CLAIMS, 1);
+      suc_note_claim (s, service, s->o.vm, token, now_us);
+      act (seat, token, now_us);
+    }
+  else if (!settled && seat->claim_is_own)
+    /* The store is away, but nobody else can have claimed since; where one
+       has, the fencing token is refused.  */
+    act (seat, seat->claim, now_us);
+  else
+    calm_down (seat, PAUSE_US, now_us);
+}
+
+void
+suc_promoted (struct suc *s, const char *service, enum suc_promoted end,
+              int64_t now_us)
+{
+  static const char *const outcomes[] = { "done", "refused", "lost" };
+  struct seat *seat = seat_of (s, service);
+  struct svc_instance *target;
+
+  EV (s->o.log, now_us, EV_PROMOTE, EV_TEXT ("service", service),
+      EV_TEXT ("instance", seat->target),
+      EV_INT ("token", (int64_t)seat->token),
+      EV_TEXT ("outcome", outcomes[end]));
+  if (seat->state != PROMOTING)
+    return;
+  if (end == SUC_PROMOTED)
+    {
+      enter (seat, SETTLING, now_us);
+      return;
+    }
+  if (end == SUC_PROMOTE_LOST && seat->tries < PROMOTE_TRIES)
+    {
+      enter (seat, PROMOTING_AGAIN, now_us);
+      return;
+    }
+  target = svc_find (seat->svc, seat->target);
+  if (target)
+    target->unfit_until_us = now_us + SETTLE_US;
+  /* The same token is not used again: the next try claims anew.  */
+  seat->token = 0;
+  calm_down (seat, PAUSE_US, now_us);
+}
+
+void
+suc_voted (struct suc *s, const char *service, const char *instance,
+           enum suc_vote vote, int64_t now_us)
+{
+  struct seat *seat = seat_of (s, service);
+
+  (void)now_us;
+  if (seat->state != ASKING || g_strcmp0 (seat->primary, instance) != 0)
+    return;
+  seat->reached += vote == SUC_VOTE_REACHED ? 1 : 0;
+  seat->missed += vote == SUC_VOTE_MISSED ? 1 : 0;
+}
+
+enum suc_vote
+suc_vote_on (struct suc *s, const char *service, const char *instance,
+             int64_t now_us)
+{
+  struct svc *svc = g_hash_table_lookup (plr_services (s->o.pooler), service);
+  struct svc_instance *i = svc ? svc_find (svc, instance) : NULL;
+
+  if (!i)
+    return SUC_VOTE_UNKNOWN;
+  if (i->dark || i->refused_us > 0 || i->question_us > 0)
+    return i->dark || i->refused_us > 0 ? SUC_VOTE_MISSED : SUC_VOTE_UNKNOWN;
+  return now_us - i->heard_us < HEARD_US ? SUC_VOTE_REACHED : SUC_VOTE_UNKNOWN;
+}
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -40,7 +40,9 @@
   int64_t behind_until_us; /* ... and isn't asked for it before */
   struct lp position;      /* highest it has shown */
   struct lp received;      /* by its status, for the choice of a successor */
+  uint32_t status_term;    /* its term by the same */
   int64_t status_us;       /* when that status was heard */
+  int64_t unfit_until_us;  /* its promotion failed */
   int64_t led_us;          /* question of the last proof that it leads */
   int64_t denied_us;       /* when it last said that it doesn't lead */
 };
--- a/packages/core/uplink.h
+++ b/packages/core/uplink.h
@@ -21,6 +21,7 @@
   UL_BEGIN,
   UL_STATEMENT,
   UL_END, /* rolls back */
+  /* From here on answered by the instance's account of itself.  */
   UL_STATUS,
   UL_STEP_DOWN
 };
--- /dev/null
+++ b/packages/proxy/cluster.c
@@ -0,0 +1,233 @@
+/* The proxies of a deployment together.  */
+#include "cluster.h"
+
+#include <string.h>
+
+struct cluster
+{
+  struct cluster_options o;
+  struct suc_port port;
+  struct suc *suc;
+  struct peers *peers;
+  GHashTable *vms; /* name -> address, this proxy included */
+  int64_t tick_us;
+};
+
+static struct cluster *
+cluster_of (struct suc_port *port)
+{
+  return (struct cluster *)((char *)port - offsetof (struct cluster, port));
+}
+
+static void
+send_to (struct cluster *c, const char *vm, const char *address,
+         const struct gsp_message *m)
+{
+  GByteArray *out = g_byte_array_new ();
+  struct peer_port *port = peers_port (c->peers);
+
+  gsp_encode (m, out);
+  ctr_add (c->o.counters, CTR_PEER_BYTES_SENT, out->len);
+  port->ops->send (port, vm, address, (const char *)out->data, out->len);
+  g_byte_array_free (out, TRUE);
+}
+
+static void
+on_claim (struct suc_port *port, const char *service, uint64_t known,
+          const char *instance)
+{
+  struct cluster *c = cluster_of (port);
+
+  c->o.sink.claim (c->o.sink.arg, service, known, instance);
+}
+
+static void
+on_promote (struct suc_port *port, const char *service, const char *instance,
+            uint64_t token)
+{
+  struct cluster *c = cluster_of (port);
+
+  c->o.sink.promote (c->o.sink.arg, service, instance, token);
+}
+
+static void
+on_ask (struct suc_port *port, const char *service, const char *instance)
+{
+  struct cluster *c = cluster_of (port);
+  struct gsp_message m = { 0 };
+  GHashTableIter iter;
+  gpointer vm;
+  gpointer address;
+
+  m.kind = GSP_ASK;
+  m.service = (char *)service;
+  m.instance = (char *)instance;
+  g_hash_table_iter_init (&iter, c->vms);
+  while (g_hash_table_iter_next (&iter, &vm, &address))
+    if (strcmp (vm, c->o.vm) != 0)
+      send_to (c, vm, address, &m);
+}
+
+static const struct suc_port_ops suc_ops = { on_claim, on_promote, on_ask };
+
+static void
+on_vote_asked (struct cluster *c, const char *from,
+               const struct gsp_message *m, int64_t now_us)
+{
+  struct gsp_message vote = { 0 };
+
+  vote.kind = GSP_VOTE;
+  vote.service = m->service;
+  vote.instance = m->instance;
+  vote.vote = (uint32_t)suc_vote_on (c->suc, m->service, m->instance, now_us);
+  send_to (c, from, NULL, &vote);
+}
+
+static void
+on_directory_asked (struct cluster *c, const char *from, uint64_t revision)
+{
+  struct gsp_message items = { 0 };
+
+  items.kind = GSP_ITEMS;
+  items.items = g_new0 (struct gsp_item, GSP_ITEMS_MAX);
+  c->o.sink.collect (c->o.sink.arg, revision, &items);
+  if (items.n_items > 0)
+    send_to (c, from, NULL, &items);
+  gsp_clear (&items);
+}
+
+static void
+on_message (void *arg, const char *from, const char *data, size_t len)
+{
+  struct cluster *c = arg;
+  struct gsp_message m;
+  int64_t now_us = loop_now_us ();
+
+  if (!gsp_decode (data, len, &m))
+    {
+      ctr_add (c->o.counters, CTR_MALFORMED_MESSAGE, 1);
+      EV (c->o.log, now_us, EV_BAD_INPUT, EV_TEXT ("from", "peer"),
+          EV_TEXT ("peer", from), EV_INT ("bytes", (int64_t)len));
+      return;
+    }
+  switch (m.kind)
+    {
+    case GSP_ASK:
+      on_vote_asked (c, from, &m, now_us);
+      break;
+    case GSP_VOTE:
+      if (m.vote <= SUC_VOTE_UNKNOWN)
+        suc_voted (c->suc, m.service, m.instance, (enum suc_vote)m.vote,
+                   now_us);
+      break;
+    case GSP_SINCE:
+      on_directory_asked (c, from, m.revision);
+      break;
+    case GSP_ITEMS:
+      for (uint32_t i = 0; i < m.n_items; i++)
+        c->o.sink.learn (c->o.sink.arg, &m.items[i]);
+      break;
+    case GSP_KIND_END:
+      break;
+    }
+  gsp_clear (&m);
+}
+
+/* Votes that don't come are not counted; there is nothing else to do.  */
+static void
+on_lost (void *arg, const char *vm)
+{
+  struct cluster *c = arg;
+
+  EV (c->o.log, loop_now_us (), EV_PEER, EV_TEXT ("peer", vm),
+      EV_TEXT ("what", "link lost"));
+}
+
+struct cluster *
+cluster_new (const struct cluster_options *options, GError **error)
+{
+  struct cluster *c = g_new0 (struct cluster, 1);
+  struct suc_options so = { 0 };
+  struct peers_options po = { 0 };
+
+  c->o = *options;
+  c->port.ops = &suc_ops;
+  c->vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  so.pooler = options->pooler;
+  so.port = &c->port;
+  so.counters = options->counters;
+  so.log = options->log;
+  so.vm = options->vm;
+  c->suc = suc_new (&so);
+  po.loop = options->loop;
+  po.sink = (struct peers_sink){ on_message, on_lost, c };
+  po.vm = options->vm;
+  po.listen = options->listen;
+  c->peers = peers_new (&po, error);
+  if (c->peers)
+    return c;
+  cluster_free (c);
+  return NULL;
+}
+
+void
+cluster_free (struct cluster *c)
+{
+  if (!c)
+    return;
+  if (c->peers)
+    peers_free (c->peers);
+  suc_free (c->suc);
+  g_hash_table_destroy (c->vms);
+  g_free (c);
+}
+
+struct suc *
+cluster_succession (struct cluster *c)
+{
+  return c->suc;
+}
+
+void
+cluster_set_vm (struct cluster *c, const char *vm, const char *address,
+                int64_t now_us)
+{
+  bool known = g_hash_table_contains (c->vms, vm);
+
+  if (known != (address != NULL))
+    EV (c->o.log, now_us, EV_PEER, EV_TEXT ("peer", vm),
+        EV_TEXT ("what", address ? "listed" : "gone"));
+  if (address)
+    g_hash_table_replace (c->vms, g_strdup (vm), g_strdup (address));
+  else
+    g_hash_table_remove (c->vms, vm);
+  plr_set_vms (c->o.pooler, g_hash_table_size (c->vms));
+}
+
+void
+cluster_ask_directory (struct cluster *c, uint64_t revision)
+{
+  struct gsp_message m = { 0 };
+  guint n = g_hash_table_size (c->vms);
+  guint pick = n > 0 ? g_random_int_range (0, (gint32)n) : 0;
+  GHashTableIter iter;
+  gpointer vm;
+  gpointer address;
+
+  m.kind = GSP_SINCE;
+  m.revision = revision;
+  g_hash_table_iter_init (&iter, c->vms);
+  for (guint i = 0; g_hash_table_iter_next (&iter, &vm, &address); i++)
+    if (i == pick && strcmp (vm, c->o.vm) != 0)
+      send_to (c, vm, address, &m);
+}
+
+void
+cluster_turn (struct cluster *c, int64_t now_us)
+{
+  if (now_us < c->tick_us)
+    return;
+  c->tick_us = now_us + SUC_TICK_US;
+  peers_tick (c->peers, now_us);
+  suc_tick (c->suc, c->vms, now_us);
+}
--- /dev/null
+++ b/packages/proxy/cluster.h
@@ -0,0 +1,50 @@
+/* The proxies of a deployment together: links between them, the succession of
+   primaries, and the directory passed on to those that can't reach it.  */
+#ifndef CB_CLUSTER_H
+#define CB_CLUSTER_H
+
+#include "gossip.h"
+#include "peers.h"
+#include "succeed.h"
+
+struct cluster_sink
+{
+  /* See struct suc_port_ops.  */
+  void (*claim) (void *arg, const char *service, uint64_t known,
+                 const char *instance);
+  void (*promote) (void *arg, const char *service, const char *instance,
+                   uint64_t token);
+  /* Adds what is newer than REVISION to MESSAGE.  */
+  void (*collect) (void *arg, uint64_t revision, struct gsp_message *message);
+  /* An item that a peer knows.  */
+  void (*learn) (void *arg, const struct gsp_item *item);
+  void *arg;
+};
+
+struct cluster_options
+{
+  struct loop *loop;
+  struct plr *pooler;
+  struct ctr_set *counters;
+  struct ev_log *log;
+  const char *vm;
+  const char *listen; /* host:port for peers */
+  struct cluster_sink sink;
+};
+
+struct cluster;
+
+/* NULL with a message in ERROR when the address cannot be bound.  */
+struct cluster *cluster_new (const struct cluster_options *options,
+                             GError **error);
+void cluster_free (struct cluster *c);
+struct suc *cluster_succession (struct cluster *c);
+/* A proxy at ADDRESS is there, or gone (NULL).  */
+void cluster_set_vm (struct cluster *c, const char *vm, const char *address,
+                     int64_t now_us);
+/* Asks one peer for what is newer than REVISION in the directory.  */
+void cluster_ask_directory (struct cluster *c, uint64_t revision);
+/* Call after each turn of the loop.  */
+void cluster_turn (struct cluster *c, int64_t now_us);
+
+#endif
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -343,7 +343,7 @@
   end.text = text;
   if (before > 0
       && g_array_index (link->questions, struct ul_question, 0).purpose
-             == UL_STATUS
+             >= UL_STATUS
       && g->o.codec->ops->read_status (g->o.codec, rows->str, rows->len,
                                        &status))
     end.status = &status;
