A proxy without a connection asks the others to give one back

Ruled out: connections of the dead VMs, gone after 3 s. A proxy with no connection to a full instance asks its peers; one with more than its share gives one up as it comes to rest.

--- a/packages/core/gossip.c
+++ b/packages/core/gossip.c
@@ -118,7 +118,7 @@
     return false;
   out->kind = (enum gsp_kind)kind;
   out->vote = (uint32_t)MIN (vote, UINT32_MAX);
-  if (out->kind <= GSP_VOTE && (!out->service || !out->instance))
+  if (out->kind <= GSP_YIELD && (!out->service || !out->instance))
     return false;
   return read_items (&f[6], out);
 }
--- a/packages/core/gossip.h
+++ b/packages/core/gossip.h
@@ -16,6 +16,7 @@
 {
   GSP_ASK = 1, /* do you reach INSTANCE of SERVICE? */
   GSP_VOTE,    /* VOTE on it */
+  GSP_YIELD,   /* this proxy has no connection to INSTANCE, which is full */
   GSP_SINCE,   /* which directory items are newer than REVISION? */
   GSP_ITEMS,
   GSP_KIND_END
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -17,7 +17,9 @@
 #define OPEN_BACKOFF_US 50000
 #define OPEN_BACKOFF_MAX_US 800000
 /* A full instance frees a connection when another proxy trims one.  */
-#define LIMIT_BACKOFF_US 150000
+#define LIMIT_BACKOFF_US 200000
+/* One that this proxy has no connection to at all is tried again sooner.  */
+#define STARVED_BACKOFF_US 60000
 
 static const char *
 kind_name (const struct ses *s)
@@ -405,6 +407,7 @@
 
   link->phase = UL_OPEN;
   i->n_opening--;
+  i->starved_us = 0;
   i->open_backoff_us = 0;
   note_heard (p, i, now_us);
   if (lp_is_known (position))
@@ -430,10 +433,16 @@
       EV_TEXT ("code", sqc_name (code)), EV_INT ("links", i->links->len));
   ctr_add (p->o.counters, CTR_CONNECTION_FAILED, 1);
   note_heard (p, i, now_us);
-  if (code == SQC_CONNECTION_LIMIT)
+  if (code != SQC_CONNECTION_LIMIT)
+    back_off (i, now_us);
+  else if (i->links->len > 1)
     i->open_after_us = now_us + LIMIT_BACKOFF_US;
   else
-    back_off (i, now_us);
+    {
+      i->open_after_us = now_us + STARVED_BACKOFF_US;
+      if (i->starved_us == 0)
+        i->starved_us = now_us;
+    }
   /* Another process answers at this address: the listed one is gone.  */
   if (code == SQC_WRONG_INSTANCE && i->refused_us == 0)
     i->refused_us = now_us;
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -38,6 +38,11 @@
   int64_t leave_us;    /* a leaving primary may lead on for so long */
 };
 
+/* Asks the other proxies to give a connection to INSTANCE back, where they
+   have more than their share.  */
+typedef void plr_yield_fn (void *arg, const char *service,
+                           const char *instance);
+
 struct plr;
 
 struct plr *plr_new (const struct plr_options *options, int64_t now_us);
@@ -64,6 +69,14 @@
 /* Proxies that share the upstreams' connections, this one included.  */
 void plr_set_vms (struct plr *p, uint32_t n);
 
+/* Connections.  */
+
+void plr_on_starved (struct plr *p, plr_yield_fn *ask, void *arg);
+/* Another proxy has no connection to INSTANCE: gives one back as soon as it
+   rests, if this proxy has more than its share.  */
+void plr_yield (struct plr *p, const char *service, const char *instance,
+                int64_t now_us);
+
 /* Sessions.  */
 
 /* NULL when the database has no route.  */
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -20,6 +20,8 @@
   bool directory_reachable;
   bool draining;
   uint64_t random;
+  plr_yield_fn *starved; /* NULL: nobody to ask */
+  void *starved_arg;
 };
 
 /* poolrun.c */
@@ -34,6 +36,8 @@
 struct ul *plr_open_link (struct plr *p, struct svc_instance *i,
                           int64_t now_us);
 struct plc_limits plr_limits (const struct plr *p, const struct svc *s);
+/* True when this proxy has more connections to I than its share.  */
+bool plr_has_surplus (const struct plr *p, const struct svc_instance *i);
 /* Takes the connection from S; what it still owes is dropped.  */
 void plr_release (struct plr *p, struct ses *s, int64_t now_us);
 /* Gives a connection that nobody holds to the next user, or cleans it.  */
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -43,6 +43,12 @@
   return plc_limits_for (s->connections_max, p->n_vms);
 }
 
+bool
+plr_has_surplus (const struct plr *p, const struct svc_instance *i)
+{
+  return i->links->len > MAX (plr_limits (p, i->svc).share, 1);
+}
+
 struct ul *
 plr_open_link (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
@@ -268,6 +274,12 @@
     }
   link->ending = false;
   link->idle_since_us = now_us;
+  if (link->instance->yielding && plr_has_surplus (p, link->instance))
+    {
+      link->instance->yielding = false;
+      plr_drop_link (p, link, now_us);
+      return;
+    }
   plr_pump (p, svc, now_us);
 }
 
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -23,7 +23,9 @@
 /* Nor to a new connection, whose handshake may queue for a slot.  */
 #define DARK_OPEN_US 1000000
 /* Connections above the share are closed after resting so long.  */
-#define SURPLUS_REST_US 1500000
+#define SURPLUS_REST_US 500000
+/* Others are asked to give a connection back this often.  */
+#define BEG_EVERY_US 100000
 /* An instance not listed any more is forgotten after this time.  */
 #define FORGET_US 20000000
 /* The smoothed work time of an instance that isn't used drifts back to the
@@ -147,10 +149,7 @@
 static void
 trim_links (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
-  struct plc_limits limits = plr_limits (p, i->svc);
-  uint32_t keep = MAX (limits.share, 1);
-
-  for (guint n = i->links->len; n > 0 && i->links->len > keep; n--)
+  for (guint n = i->links->len; n > 0 && plr_has_surplus (p, i); n--)
     {
       struct ul *link = g_ptr_array_index (i->links, n - 1);
 
@@ -161,6 +160,41 @@
     }
 }
 
+/* An instance that is full, without a single connection of this proxy.  */
+static void
+beg (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  if (i->starved_us == 0 || !p->starved
+      || now_us - i->begged_us < BEG_EVERY_US)
+    return;
+  i->begged_us = now_us;
+  p->starved (p->starved_arg, i->svc->name, i->entry->id);
+}
+
+void
+plr_on_starved (struct plr *p, plr_yield_fn *ask, void *arg)
+{
+  p->starved = ask;
+  p->starved_arg = arg;
+}
+
+void
+plr_yield (struct plr *p, const char *service, const char *instance,
+           int64_t now_us)
+{
+  struct svc *s = g_hash_table_lookup (p->services, service);
+  struct svc_instance *i = s ? svc_find (s, instance) : NULL;
+  struct ul *link = i ? plc_idle_link (i) : NULL;
+
+  if (!i || !plr_has_surplus (p, i))
+    return;
+  ctr_add (p->o.counters, CTR_LINKS_YIELDED, 1);
+  i->open_after_us = MAX (i->open_after_us, now_us + SURPLUS_REST_US);
+  i->yielding = link == NULL;
+  if (link)
+    plr_drop_link (p, link, now_us);
+}
+
 static void
 drift_work (struct svc_instance *i)
 {
@@ -214,6 +248,7 @@
   watch_life (p, i, now_us);
   leave_unusable (p, i, now_us);
   trim_links (p, i, now_us);
+  beg (p, i, now_us);
   drift_work (i);
 }
 
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -29,6 +29,9 @@
   uint32_t n_in_use;     /* links with a statement or transaction */
   int64_t open_after_us; /* no new connection before */
   int64_t open_backoff_us;
+  bool yielding;         /* gives the next resting connection back */
+  int64_t starved_us;    /* full, while this proxy has no connection */
+  int64_t begged_us;     /* others were last asked for one */
   int64_t heard_us;      /* last byte or accepted connection */
   int64_t refused_us;    /* connections are refused since, 0 = not */
   int64_t question_us;   /* sent then, free of queues, unanswered; 0 = none */
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -50,16 +50,17 @@
   c->o.sink.promote (c->o.sink.arg, service, instance, token);
 }
 
+/* Sends a question about INSTANCE to all other proxies.  */
 static void
-on_ask (struct suc_port *port, const char *service, const char *instance)
+ask_all (struct cluster *c, enum gsp_kind kind, const char *service,
+         const char *instance)
 {
-  struct cluster *c = cluster_of (port);
   struct gsp_message m = { 0 };
   GHashTableIter iter;
   gpointer vm;
   gpointer address;
 
-  m.kind = GSP_ASK;
+  m.kind = kind;
   m.service = (char *)service;
   m.instance = (char *)instance;
   g_hash_table_iter_init (&iter, c->vms);
@@ -68,6 +69,18 @@
       send_to (c, vm, address, &m);
 }
 
+static void
+on_ask (struct suc_port *port, const char *service, const char *instance)
+{
+  ask_all (cluster_of (port), GSP_ASK, service, instance);
+}
+
+static void
+on_starved (void *arg, const char *service, const char *instance)
+{
+  ask_all (arg, GSP_YIELD, service, instance);
+}
+
 static const struct suc_port_ops suc_ops = { on_claim, on_promote, on_ask };
 
 static void
@@ -120,6 +133,9 @@
         suc_voted (c->suc, m.service, m.instance, (enum suc_vote)m.vote,
                    now_us);
       break;
+    case GSP_YIELD:
+      plr_yield (c->o.pooler, m.service, m.instance, now_us);
+      break;
     case GSP_SINCE:
       on_directory_asked (c, from, m.revision);
       break;
@@ -159,6 +175,7 @@
   so.log = options->log;
   so.vm = options->vm;
   c->suc = suc_new (&so);
+  plr_on_starved (options->pooler, on_starved, c);
   po.loop = options->loop;
   po.sink = (struct peers_sink){ on_message, on_lost, c };
   po.vm = options->vm;
