Lost answers are given up early; pressure is logged

A fifth of a primary's answers are lost and each held its connection for the route's 800 ms. A read, or a transaction's statement before COMMIT, is given up after ten times the usual while its instance answers others; writes and commits still wait.

--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -514,6 +514,19 @@
   ul_free (link);
 }
 
+void
+plr_answer_lost (struct plr *p, struct ses *s, int64_t now_us)
+{
+  struct ul *link = s->link;
+
+  link->doomed = true;
+  if (can_restart (s))
+    plr_retry (p, s, RETRY_ANSWER_LOST, 0, now_us);
+  else
+    abort_transaction (p, s, RFS_ANSWER_LOST, now_us);
+  plr_drop_link (p, link, now_us);
+}
+
 void
 plr_expire (struct plr *p, struct ses *s, int64_t now_us)
 {
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -60,6 +60,9 @@
 void plr_drop_link (struct plr *p, struct ul *link, int64_t now_us);
 /* The statement of S got no answer in time.  */
 void plr_expire (struct plr *p, struct ses *s, int64_t now_us);
+/* The answer to the statement of S, which may run again or can be taken back,
+   is lost: its connection is given up.  */
+void plr_answer_lost (struct plr *p, struct ses *s, int64_t now_us);
 void plr_note_leader (struct plr *p, struct svc_instance *i, int64_t asked_us,
                       struct lp position, int64_t now_us);
 void plr_note_denied (struct plr *p, struct svc_instance *i, int64_t now_us);
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -22,6 +22,13 @@
 #define DARK_US 700000
 /* Nor to a new connection, whose handshake may queue for a slot.  */
 #define DARK_OPEN_US 1000000
+/* How often, and from which wait on, waiting is logged.  */
+#define PRESSURE_EVERY_US 1000000
+#define PRESSURE_WAIT_US 100000
+/* An answer that takes so many times the usual is lost; beyond the longest
+   statements, whose time has a tail of several times the mean.  */
+#define LOST_FACTOR 10
+#define LOST_MIN_US 200000
 /* Connections above the share are closed after resting so long.  */
 #define SURPLUS_REST_US 500000
 /* Others are asked to give a connection back this often.  */
@@ -252,6 +259,35 @@
   drift_work (i);
 }
 
+/* Says once a second why statements wait.  */
+static void
+log_pressure (struct plr *p, struct svc *s, int64_t now_us)
+{
+  const struct ses *oldest = s->waiting.head ? s->waiting.head->data : NULL;
+
+  if (!oldest || now_us - s->pressure_us < PRESSURE_EVERY_US
+      || now_us - oldest->arrived_us < PRESSURE_WAIT_US)
+    return;
+  s->pressure_us = now_us;
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      const struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+      EV (p->o.log, now_us, EV_PRESSURE, EV_TEXT ("service", s->name),
+          EV_TEXT ("instance", i->entry->id),
+          EV_TEXT ("leads", s->leader == i ? "yes" : "no"),
+          EV_INT ("waiting", g_queue_get_length (&s->waiting)),
+          EV_INT ("waited_us", now_us - oldest->arrived_us),
+          EV_INT ("links", i->links->len), EV_INT ("opening", i->n_opening),
+          EV_INT ("in_use", i->n_in_use), EV_INT ("work_us", i->work_us),
+          EV_INT ("round_trip_us", i->round_trip_us),
+          EV_INT ("open_in_us", MAX (i->open_after_us - now_us, 0)),
+          EV_INT ("dark", i->dark),
+          EV_INT ("proof_us",
+                  i->led_us > 0 ? now_us - i->led_us : -1));
+    }
+}
+
 static void
 watch_service (struct plr *p, struct svc *s, int64_t now_us)
 {
@@ -268,6 +304,22 @@
     }
   watch_leader (p, s, now_us);
   plr_pump (p, s, now_us);
+  log_pressure (p, s, now_us);
+}
+
+/* An instance that answers others within its usual time, and not this: the
+   answer is lost.  Not for a write or commit, which can't be taken back.  */
+static bool
+is_answer_lost (const struct ses *s, int64_t now_us)
+{
+  const struct svc_instance *i = s->link->instance;
+  int64_t usual_us = i->round_trip_us + LOST_FACTOR * i->work_us;
+  int64_t limit_us = MAX (usual_us, LOST_MIN_US);
+
+  if (s->statement.kind == STM_COMMIT || (s->writes && !s->work.transaction)
+      || s->link->questions->len == 0)
+    return false;
+  return now_us - s->sent_us > limit_us && i->heard_us > s->sent_us;
 }
 
 static void
@@ -278,6 +330,8 @@
 
   if (now_us - since_us > s->work.timeout_us)
     plr_expire (p, s, now_us);
+  else if (sent && is_answer_lost (s, now_us))
+    plr_answer_lost (p, s, now_us);
   else if (sent && s->retry_us > 0 && now_us >= s->retry_us)
     {
       s->retry_us = 0;
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -70,6 +70,7 @@
   GQueue waiting;    /* struct ses *, by priority and arrival */
   int64_t wanted_us; /* last time a session used it */
   int64_t probed_us; /* last question for the lead */
+  int64_t pressure_us;  /* waiting was logged then */
   int64_t leave_us;  /* an instance that leaves may lead on for so long */
 };
 
