--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -31,6 +31,8 @@
 #define LOST_MIN_US 200000
 /* Connections above the share are closed after resting so long.  */
 #define SURPLUS_REST_US 500000
+/* The last connection to a replica is closed after.  */
+#define REPLICA_REST_US 2000000
 /* Others are asked to give a connection back this often.  */
 #define BEG_EVERY_US 100000
 /* An instance not listed any more is forgotten after this time.  */
@@ -175,15 +177,31 @@
     }
 }
 
-/* Closes connections that rested too long, beyond the share of this VM.  */
+/* True when LINK rested so long that its place is better left to others: one
+   beyond the share soon, the last one to a replica that isn't used later.  */
+static bool
+is_spare (const struct plr *p, const struct ul *link, int64_t now_us)
+{
+  const struct svc_instance *i = link->instance;
+  int64_t rested_us = now_us - link->idle_since_us;
+
+  if (!ul_is_idle (link))
+    return false;
+  if (plr_has_surplus (p, i))
+    return rested_us >= SURPLUS_REST_US;
+  return i->svc->leader && i->svc->leader != i && rested_us >= REPLICA_REST_US;
+}
+
+/* Closes connections that rest.  What a VM that lost power held is counted by
+   the instance for seconds, so few are kept.  */
 static void
 trim_links (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
-  for (guint n = i->links->len; n > 0 && plr_has_surplus (p, i); n--)
+  for (guint n = i->links->len; n > 0; n--)
     {
       struct ul *link = g_ptr_array_index (i->links, n - 1);
 
-      if (!ul_is_idle (link) || now_us - link->idle_since_us < SURPLUS_REST_US)
+      if (!is_spare (p, link, now_us))
         continue;
       ctr_add (p->o.counters, CTR_LINKS_TRIMMED, 1);
       plr_drop_link (p, link, now_us);
--- /dev/null
+++ b/tests/unit/platform_test.cc
@@ -0,0 +1,437 @@
+// The platform's wire, records and settings, and the product's own parsers and
+// log of sessions.
+#include <glib.h>
+extern "C"
+{
+#include "event.h"
+#include "gossip.h"
+#include "lines.h"
+#include "place.h"
+#include "records.h"
+#include "site.h"
+}
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace
+{
+struct codec_caller
+ReadCaller (std::string &line)
+{
+  struct codec_caller m;
+  lin_codec ()->ops->read_caller (lin_codec (), line.data (), line.size (),
+                                  &m);
+  return m;
+}
+
+std::string
+Text (const char *text)
+{
+  return text ? text : "(none)";
+}
+
+TEST (Lines, CallersStatements)
+{
+  struct
+  {
+    const char *line;
+    enum stm_kind kind;
+    const char *name;
+    const char *args;
+  } const cases[] = {
+    { "QUERY i BEGIN", STM_BEGIN, "(none)", "(none)" },
+    { "QUERY i BEGIN READ", STM_BEGIN_READ, "(none)", "(none)" },
+    { "QUERY i BEGIN WRITE", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i COMMIT", STM_COMMIT, "(none)", "(none)" },
+    { "QUERY i COMMIT now", STM_MALFORMED, "(none)", "now" },
+    { "QUERY i ROLLBACK", STM_ROLLBACK, "(none)", "(none)" },
+    { "QUERY i READ 1a4", STM_READ, "(none)", "1a4" },
+    { "QUERY i READ", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i WRITE 1a4 two  blanks ", STM_WRITE, "(none)",
+      "1a4 two  blanks " },
+    { "QUERY i SET zone north east", STM_SET, "zone", "north east" },
+    { "QUERY i SET zone", STM_MALFORMED, "zone", "(none)" },
+    { "QUERY i PARSE s1 READ q2", STM_PREPARE_READ, "s1", "q2" },
+    { "QUERY i PARSE s1 WRITE q2 x", STM_PREPARE_WRITE, "s1", "q2 x" },
+    { "QUERY i PARSE s1 BOTH q2", STM_MALFORMED, "s1", "q2" },
+    { "QUERY i EXECUTE s1 1a4 data", STM_EXECUTE, "s1", "1a4 data" },
+    { "QUERY i CLOSE s1", STM_FORGET, "s1", "(none)" },
+    { "QUERY i DISCARD", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i STATUS", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i STEPDOWN 9", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i AFTER 3.1 READ a", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY  READ a", STM_MALFORMED, "(none)", "(none)" },
+  };
+  for (const auto &c : cases)
+    {
+      std::string line = c.line;
+      struct codec_caller m = ReadCaller (line);
+      EXPECT_EQ (m.kind, CODEC_STATEMENT) << c.line;
+      EXPECT_EQ (m.statement.kind, c.kind) << c.line;
+      EXPECT_EQ (Text (m.statement.name), c.name) << c.line;
+      EXPECT_EQ (Text (m.statement.args), c.args) << c.line;
+    }
+}
+
+TEST (Lines, CallersOtherMessages)
+{
+  struct
+  {
+    std::string line;
+    enum codec_caller_kind kind;
+  } const cases[] = {
+    { "STARTUP db u1", CODEC_START },
+    { "STARTUP db", CODEC_START },
+    { "STARTUP", CODEC_BAD },
+    { "STARTUP ", CODEC_BAD },
+    { "TERMINATE", CODEC_BYE },
+    { "", CODEC_BAD },
+    { "HELLO x", CODEC_BAD },
+    { std::string ("QUERY i\0x", 9), CODEC_BAD },
+    { "\xff\xfe", CODEC_BAD },
+  };
+  for (auto c : cases)
+    EXPECT_EQ (ReadCaller (c.line).kind, c.kind) << c.line;
+}
+
+TEST (Lines, UpstreamsMessages)
+{
+  struct
+  {
+    const char *line;
+    enum codec_upstream_kind kind;
+    enum sqc code;
+    enum stm_state state;
+    uint32_t term;
+    uint64_t number;
+  } const cases[] = {
+    { "DATAROW a b c", CODEC_ROW, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "COMPLETE 7.1f3", CODEC_DONE, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "COMPLETE", CODEC_BROKEN, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "ERROR LAGGING i-7", CODEC_ERROR, SQC_BEHIND, STM_IDLE, 0, 0 },
+    { "ERROR NEWCODE what", CODEC_ERROR, SQC_FAILED, STM_IDLE, 0, 0 },
+    { "ERROR READONLY", CODEC_ERROR, SQC_READ_ONLY, STM_IDLE, 0, 0 },
+    { "READY I 3.1209", CODEC_READY, SQC_BUSY, STM_IDLE, 3, 1209 },
+    { "READY T -", CODEC_READY, SQC_BUSY, STM_OPEN, 0, 0 },
+    { "READY E 0.7", CODEC_READY, SQC_BUSY, STM_BROKEN, 0, 0 },
+    { "READY I 3.", CODEC_READY, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "READY I 99999999999.1", CODEC_READY, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "READY I 1.99999999999999999999", CODEC_READY, SQC_BUSY, STM_IDLE, 0,
+      0 },
+    { "READY X 1.1", CODEC_BROKEN, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "READY", CODEC_BROKEN, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "HTTP/1.1 200 OK", CODEC_BROKEN, SQC_BUSY, STM_IDLE, 0, 0 },
+  };
+  for (const auto &c : cases)
+    {
+      std::string line = c.line;
+      struct codec_upstream m;
+      lin_codec ()->ops->read_upstream (lin_codec (), line.data (),
+                                        line.size (), &m);
+      EXPECT_EQ (m.kind, c.kind) << c.line;
+      EXPECT_EQ (m.state, c.state) << c.line;
+      EXPECT_EQ (m.position.term, c.term) << c.line;
+      EXPECT_EQ (m.position.number, c.number) << c.line;
+      if (m.kind == CODEC_ERROR)
+        {
+          EXPECT_EQ (m.code, c.code) << c.line;
+        }
+    }
+}
+
+TEST (Lines, StatementsKeepTheirText)
+{
+  static const char *const lines[] = {
+    "QUERY 5c READ 1a4",          "QUERY 5c WRITE 1a4  two blanks ",
+    "QUERY 5c EXECUTE s1 1a4 xk", "QUERY 5c COMMIT",
+    "QUERY 5c SET a b c",         "QUERY 5c PARSE s1 WRITE q2c",
+    "QUERY 5c BEGIN READ",        "QUERY 5c ROLLBACK",
+  };
+  struct lp nowhere = {};
+  for (const char *text : lines)
+    {
+      std::string line = text;
+      struct codec_caller m = ReadCaller (line);
+      GString *out = g_string_new (NULL);
+      lin_codec ()->ops->write_statement (lin_codec (), out, nowhere,
+                                          &m.statement);
+      EXPECT_EQ (std::string (out->str), std::string (text) + "\r\n");
+      g_string_free (out, TRUE);
+    }
+  struct stm read = {};
+  read.kind = STM_READ;
+  read.id = "5c";
+  read.args = "1a4";
+  GString *out = g_string_new (NULL);
+  lin_codec ()->ops->write_statement (lin_codec (), out, { 3, 1207 }, &read);
+  EXPECT_STREQ (out->str, "QUERY 5c AFTER 3.1207 READ 1a4\r\n");
+  g_string_free (out, TRUE);
+}
+
+TEST (Lines, StatusRows)
+{
+  struct
+  {
+    const char *rows;
+    bool good;
+    bool primary;
+    uint64_t number;
+  } const cases[] = {
+    { "DATAROW replica 3 3.1209 0 12 2 17\r\n", true, false, 1209 },
+    { "DATAROW primary 3 3.1209 0 0 2 17\r\n", true, true, 1209 },
+    { "DATAROW replica 3 - 0 12 2 17\r\n", false, false, 0 },
+    { "DATAROW replica\r\n", false, false, 0 },
+    { "", false, false, 0 },
+  };
+  for (const auto &c : cases)
+    {
+      struct stm_status s;
+      EXPECT_EQ (lin_codec ()->ops->read_status (lin_codec (), c.rows,
+                                                 strlen (c.rows), &s),
+                 c.good)
+          << c.rows;
+      EXPECT_EQ (s.received.number, c.number) << c.rows;
+      EXPECT_EQ (s.primary, c.primary) << c.rows;
+    }
+}
+
+const char kInstance[]
+    = "{\"service\":\"s\",\"address\":\"10.1.0.9:80\",\"zone\":\"z\","
+      "\"slots\":2,\"state\":\"ready\",\"dbRole\":\"replica\",\"seq\":4,"
+      "\"born\":1700}";
+
+std::string
+With (std::string text, const std::string &from, const std::string &to)
+{
+  return text.replace (text.find (from), from.size (), to);
+}
+
+TEST (Records, Instances)
+{
+  struct
+  {
+    std::string text;
+    bool good;
+  } const cases[] = {
+    { kInstance, true },
+    { With (kInstance, "\"seq\":4", "\"seq\":\"new\",\"more\":[1]"), true },
+    { With (kInstance, "ready", "draining"), true },
+    { With (kInstance, "ready", "leaving"), false },
+    { With (kInstance, "\"ready\"", "7"), false },
+    { With (kInstance, "replica", "witness"), false },
+    { With (kInstance, "10.1.0.9:80", "10.1.0.9"), false },
+    { With (kInstance, "10.1.0.9:80", "host:80"), false },
+    { With (kInstance, "10.1.0.9:80", "10.1.0.9:99999"), false },
+    { With (kInstance, "\"service\":\"s\",", ""), false },
+    { With (kInstance, "\"zone\":\"z\",", ""), false },
+    { "", false },
+    { "{", false },
+    { "[]", false },
+    { "\xff\x01", false },
+    { "null", false },
+  };
+  for (const auto &c : cases)
+    {
+      char *why;
+      struct dir_instance *i
+          = rec_instance ("i-1", c.text.data (), c.text.size (), &why);
+      EXPECT_EQ (i != NULL, c.good) << c.text;
+      EXPECT_EQ (why == NULL, c.good) << c.text;
+      if (i)
+        {
+          EXPECT_STREQ (i->id, "i-1");
+          EXPECT_EQ (i->born_ms, 1700);
+          EXPECT_EQ (i->port, 80);
+        }
+      dir_instance_free (i);
+      g_free (why);
+    }
+}
+
+const char kConfig[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"type\":"
+      "\"read_your_writes\",\"timeoutMs\":800,\"latencySloMs\":500,"
+      "\"priority\":2,\"service\":\"s\",\"maxStalenessMs\":2500}],"
+      "\"services\":[{\"name\":\"s\",\"maxConns\":16,\"syncReplicas\":0}],"
+      "\"limits\":{\"txIdleMs\":3000}}";
+
+TEST (Records, Configurations)
+{
+  struct
+  {
+    std::string text;
+    bool good;
+  } const cases[] = {
+    { kConfig, true },
+    { With (kConfig, "\"limits\"", "\"news\":{},\"limits\""), true },
+    { With (kConfig, "\"version\":7", "\"version\":0"), false },
+    { With (kConfig, "\"version\":7", "\"version\":\"7\""), false },
+    { With (kConfig, "read_your_writes", "any"), false },
+    { With (kConfig, "\"host\":\"db\",", ""), false },
+    { With (kConfig, "\"name\":\"s\"", "\"name\":\"\""), false },
+    { "", false },
+    { "{}", false },
+    { std::string (kConfig).substr (0, 100), false },
+  };
+  for (const auto &c : cases)
+    {
+      char *why;
+      struct dir_config *config
+          = rec_config (c.text.data (), c.text.size (), &why);
+      EXPECT_EQ (config != NULL, c.good) << c.text;
+      g_free (why);
+      if (config)
+        {
+          const struct dir_route *r = dir_find_route (config, "db");
+          ASSERT_NE (r, nullptr);
+          EXPECT_EQ (r->reads, DIR_READS_OWN);
+          EXPECT_EQ (r->max_age_us, 2500000);
+          EXPECT_EQ (r->timeout_us, 800000);
+          EXPECT_EQ (config->transaction_idle_us, 3000000);
+          EXPECT_EQ (dir_find_service (config, "s")->connections_max, 16);
+        }
+      dir_config_free (config);
+    }
+}
+
+const char kSettings[]
+    = "node: \"vm-1\"\nzone: \"a\"\nip: \"10.1.0.8\"\nnews: [1, {x: 2}]\n"
+      "zones:\n  a: \"r1\"\n  b: \"r2\"\n"
+      "listen:\n  frontend: \"10.1.0.8:8784\"\n  readiness: "
+      "\"10.1.0.8:8785\"\n"
+      "internalPorts:\n  - 7440\n  - 7455\n"
+      "limits:\n  maxFds: 4200\n"
+      "bounds:\n  drainMs: 7000\n  graceS: 6\n  configApplyMs: 3000\n"
+      "platform:\n  address: \"10.200.1.7:8783\"\n"
+      "cloudApi:\n  address: \"10.200.0.160:8783\"\n";
+
+TEST (Site, SettingsAndTheirFindings)
+{
+  struct
+  {
+    std::string text;
+    const char *finding; // NULL: valid
+  } const cases[] = {
+    { kSettings, NULL },
+    { With (kSettings, "bounds:", "boundz:"), NULL },
+    { With (kSettings, "node: \"vm-1\"\n", ""), "node" },
+    { With (kSettings, "platform:", "platfrom:"), "platform" },
+    { With (kSettings, "drainMs: 7000", "drainMs: soon"), "drainMs" },
+    { With (kSettings, "graceS: 6", "graceS: -1"), "graceS" },
+    { With (kSettings, "- 7440", "- none"), "internalPorts" },
+    { "", "empty" },
+    { "[", "not YAML" },
+    { "- a\n- b\n", "mapping" },
+  };
+  for (const auto &c : cases)
+    {
+      struct fnd_list findings;
+      fnd_init (&findings);
+      struct site *s = site_parse ("local.yaml", c.text.data (),
+                                   c.text.size (), &findings);
+      char *report = fnd_text (&findings);
+      EXPECT_EQ (s != NULL, c.finding == NULL) << c.text << report;
+      if (c.finding)
+        {
+          EXPECT_NE (strstr (report, c.finding), nullptr) << report;
+        }
+      if (s)
+        {
+          EXPECT_STREQ (s->store_url, "http://10.200.1.7:8783");
+          EXPECT_EQ (s->grace_ms, 6000);
+          EXPECT_EQ (s->peers_port, 7440);
+        }
+      site_free (s);
+      g_free (report);
+      fnd_free (&findings);
+    }
+}
+
+std::vector<std::string> lines;
+
+bool
+Keep (void *arg, const char *line, size_t len)
+{
+  lines.emplace_back (line, len);
+  return arg == nullptr;
+}
+
+TEST (Event, LinesAreLimitedAndEscaped)
+{
+  struct ev_log log;
+  lines.clear ();
+  ev_init (&log, "vm-1", Keep, nullptr);
+  EV (&log, 5000000, EV_REFUSED, EV_TEXT ("id", "a\"b\\\n\x01\xff"),
+      EV_INT ("age_us", -7));
+  ASSERT_EQ (lines.size (), 1u);
+  EXPECT_EQ (lines[0],
+             "{\"t_ms\":5000,\"vm\":\"vm-1\",\"event\":\"refused\","
+             "\"id\":\"a\\\"b\\\\\\u000a\\u0001?\",\"age_us\":-7}\n");
+  for (int n = 0; n < 10000; n++)
+    EV (&log, 6000000, EV_REFUSED, EV_INT ("n", n));
+  EXPECT_LT (lines.size (), 100u);
+  EXPECT_EQ (log.counts[EV_REFUSED], 10001u);
+  size_t before = lines.size ();
+  EV (&log, 7000000, EV_REFUSED, EV_INT ("n", 1));
+  ASSERT_EQ (lines.size (), before + 2);
+  EXPECT_NE (lines[before].find ("\"log_dropped\",\"of\":\"refused\""),
+             std::string::npos);
+}
+
+TEST (Event, ASinkThatTakesNothingIsCounted)
+{
+  struct ev_log log;
+  int full = 0;
+  ev_init (&log, "vm-1", Keep, &full);
+  EV (&log, 5000000, EV_START, EV_INT ("n", 1));
+  EXPECT_EQ (log.dropped, 1u);
+}
+
+TEST (Gossip, RoundTripAndRefusals)
+{
+  struct gsp_message m = {};
+  struct gsp_item items[2]
+      = { { (char *)"k", (char *)"v", 7 }, { (char *)"gone", NULL, 9 } };
+  m.kind = GSP_ITEMS;
+  m.n_items = 2;
+  m.items = items;
+  GByteArray *out = g_byte_array_new ();
+  gsp_encode (&m, out);
+  struct gsp_message back;
+  ASSERT_TRUE (gsp_decode ((char *)out->data, out->len, &back));
+  ASSERT_EQ (back.n_items, 2u);
+  EXPECT_STREQ (back.items[0].value, "v");
+  EXPECT_EQ (back.items[1].value, nullptr);
+  EXPECT_EQ (back.items[1].revision, 9u);
+  gsp_clear (&back);
+  for (guint len = 0; len < out->len; len++)
+    EXPECT_FALSE (gsp_decode ((char *)out->data, len, &back)) << len;
+  out->data[2] = 99;
+  EXPECT_FALSE (gsp_decode ((char *)out->data, out->len, &back));
+  EXPECT_FALSE (gsp_decode ("\xff\xff", 2, &back));
+  g_byte_array_free (out, TRUE);
+}
+
+TEST (Place, SharesOfConnections)
+{
+  struct
+  {
+    int32_t max;
+    uint32_t vms;
+    uint32_t share;
+    uint32_t most;
+  } const cases[] = {
+    { 16, 9, 1, 3 },   { 55, 7, 7, 15 }, { 32, 59, 0, 2 },
+    { 16, 1, 16, 16 }, { 1, 1, 1, 2 },   { 0, 0, 1, 2 },
+  };
+  for (const auto &c : cases)
+    {
+      struct plc_limits l = plc_limits_for (c.max, c.vms);
+      EXPECT_EQ (l.share, c.share) << c.max << " " << c.vms;
+      EXPECT_EQ (l.most, c.most) << c.max << " " << c.vms;
+    }
+}
+} // namespace
