--- a/packages/adapters/codec.h
+++ b/packages/adapters/codec.h
@@ -24,6 +24,9 @@
   enum codec_caller_kind kind;
   const char *database;
   struct stm statement;
+  /* Of another proxy only.  */
+  const char *instance; /* that it wants to reach; DATABASE is its service */
+  struct lp after;      /* the statement's */
 };
 
 enum codec_upstream_kind
@@ -53,6 +56,9 @@
   /* LINE has no line end, is NUL-terminated, and is changed.  */
   void (*read_caller) (const struct codec *codec, char *line, size_t len,
                        struct codec_caller *out);
+  /* The same from another proxy, which speaks as to an upstream.  */
+  void (*read_relay) (const struct codec *codec, char *line, size_t len,
+                      struct codec_caller *out);
   void (*read_upstream) (const struct codec *codec, char *line, size_t len,
                          struct codec_upstream *out);
   /* Reads the rows of a status answer; false when they are none.  */
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -7,17 +7,35 @@
 /* A round trip weighs so much more than work: bytes between regions are dear
    and a nearer copy leaves the link to those who need it.  */
 #define DISTANCE_WEIGHT 3
+/* Connections to homes for one instance: statements that one proxy has under
+   way there at once.  */
+#define REMOTE_LINKS_MAX 8
 
-struct plc_limits
-plc_limits_for (int32_t connections_max, uint32_t n_vms)
+struct svc_limits
+plc_limits_for (int32_t connections_max, uint32_t n_vms,
+                const struct rly_homes *homes)
 {
-  struct plc_limits l;
+  struct svc_limits l;
   uint32_t max = connections_max > 0 ? (uint32_t)connections_max : 1;
 
-  l.share = max / MAX (n_vms, 1);
-  /* Borrowed room: a burst of one proxy uses what others leave idle.  */
-  l.most = MIN (2 * l.share + 1, max);
-  l.most = MAX (l.most, 2);
+  if (homes->direct)
+    {
+      l.share = max / MAX (n_vms, 1);
+      /* Borrowed room: a burst of one proxy uses what others leave idle.  */
+      l.most = MIN (2 * l.share + 1, max);
+      l.most = MAX (l.most, 2);
+    }
+  else if (homes->own)
+    {
+      l.share = MAX (max / MAX (homes->n, 1), 1);
+      l.most = l.share;
+    }
+  else
+    {
+      /* Connections to homes cost the instance nothing.  */
+      l.share = 1;
+      l.most = REMOTE_LINKS_MAX;
+    }
   return l;
 }
 
@@ -39,10 +57,9 @@
 }
 
 static bool
-may_open (const struct svc_instance *i, struct plc_limits limits,
-          int64_t now_us)
+may_open (const struct svc_instance *i, int64_t now_us)
 {
-  return i->links->len < limits.most && now_us >= i->open_after_us;
+  return i->links->len < i->limits.most && now_us >= i->open_after_us;
 }
 
 static bool
@@ -76,8 +93,7 @@
 }
 
 struct plc_choice
-plc_choose (const struct svc *s, const struct plc_need *need,
-            struct plc_limits limits, int64_t now_us)
+plc_choose (const struct svc *s, const struct plc_need *need, int64_t now_us)
 {
   struct plc_choice best = { PLC_NONE, NULL, NULL };
   int64_t best_cost = INT64_MAX;
@@ -95,7 +111,7 @@
       if (now_us < i->busy_until_us)
         continue;
       link = plc_idle_link (i);
-      if (!link && !may_open (i, limits, now_us))
+      if (!link && !may_open (i, now_us))
         continue;
       cost = cost_of (i, need, link != NULL);
       if (cost >= best_cost)
@@ -107,3 +123,15 @@
     }
   return best;
 }
+
+struct plc_choice
+plc_choose_at (struct svc_instance *instance, int64_t now_us)
+{
+  struct plc_choice c = { PLC_WAIT, instance, plc_idle_link (instance) };
+
+  if (c.link)
+    c.verdict = PLC_USE;
+  else if (may_open (instance, now_us))
+    c.verdict = PLC_OPEN;
+  return c;
+}
--- a/packages/core/place.h
+++ b/packages/core/place.h
@@ -12,13 +12,6 @@
   const struct svc_instance *avoid; /* chosen only when nothing else fits */
 };
 
-/* How many connections this VM may have to one instance.  */
-struct plc_limits
-{
-  uint32_t share; /* kept open */
-  uint32_t most;  /* for a short while */
-};
-
 enum plc_verdict
 {
   PLC_USE,  /* LINK is idle */
@@ -34,10 +27,15 @@
   struct ul *link;
 };
 
-/* Shares CONNECTIONS_MAX of an instance between N_VMS proxies.  */
-struct plc_limits plc_limits_for (int32_t connections_max, uint32_t n_vms);
+/* Shares CONNECTIONS_MAX of an instance between N_VMS proxies that all go
+   directly, or between its homes.  */
+struct svc_limits plc_limits_for (int32_t connections_max, uint32_t n_vms,
+                                  const struct rly_homes *homes);
 struct plc_choice plc_choose (const struct svc *s, const struct plc_need *need,
-                              struct plc_limits limits, int64_t now_us);
+                              int64_t now_us);
+/* An idle connection to INSTANCE, else room for another one.  */
+struct plc_choice plc_choose_at (struct svc_instance *instance,
+                                 int64_t now_us);
 /* An idle connection to INSTANCE, or NULL.  */
 struct ul *plc_idle_link (const struct svc_instance *instance);
 
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -285,18 +285,28 @@
   i->behind_until_us = now_us + BEHIND_WAIT_US;
 }
 
+/* What the answer to a BEGIN says of the instance.  */
 static void
-on_begin (struct plr *p, struct ul *link, const struct ul_question *q,
-          const struct stm_end *end, int64_t now_us)
+note_begin (struct plr *p, struct ul *link, const struct ul_question *q,
+            const struct stm_end *end, int64_t now_us)
 {
   struct svc_instance *i = link->instance;
-  struct ses *s = q->session;
 
   svc_note_round_trip (i, q->asked_us, now_us);
   if (end->ok && q->proves_lead)
     plr_note_leader (p, i, q->asked_us, end->position, now_us);
   else if (!end->ok && q->proves_lead && end->code == SQC_READ_ONLY)
     plr_note_denied (p, i, now_us);
+}
+
+static void
+on_begin (struct plr *p, struct ul *link, const struct ul_question *q,
+          const struct stm_end *end, int64_t now_us)
+{
+  struct svc_instance *i = link->instance;
+  struct ses *s = q->session;
+
+  note_begin (p, link, q, end, now_us);
   if (!s || !s->proving)
     return;
   s->proving = false;
@@ -363,7 +373,12 @@
 {
   struct ul_question q;
 
-  note_heard (p, link->instance, now_us);
+  /* A home answers setups itself; the rest comes from the instance.  */
+  if (!link->home
+      || (link->questions->len > 0
+          && g_array_index (link->questions, struct ul_question, 0).purpose
+                 != UL_SETUP))
+    note_heard (p, link->instance, now_us);
   if (!ul_take_question (link, &q))
     {
       EV (p->o.log, now_us, EV_BAD_INPUT, EV_TEXT ("from", "upstream"),
@@ -375,6 +390,14 @@
   link->state = end->state;
   if (lp_is_known (end->position))
     svc_note_position (link->instance, end->position);
+  if (q.session && ((struct ses *)q.session)->relay_to)
+    {
+      if (q.purpose == UL_BEGIN && q.proves_lead)
+        note_begin (p, link, &q, end, now_us);
+      plr_relay_answer (p, q.session, end, now_us);
+      plr_settle (p, link, now_us);
+      return;
+    }
   switch (q.purpose)
     {
     case UL_SETUP:
@@ -423,7 +446,11 @@
   i->n_opening--;
   i->starved_us = 0;
   i->open_backoff_us = 0;
-  note_heard (p, i, now_us);
+  /* A home's greeting says nothing of the instance.  */
+  if (!link->home)
+    note_heard (p, i, now_us);
+  else if (i->dark || i->refused_us > 0)
+    plr_probe (p, link, false, now_us);
   if (lp_is_known (position))
     svc_note_position (i, position);
   plr_settle (p, link, now_us);
@@ -447,7 +474,10 @@
   EV (p->o.log, now_us, EV_LINK_REFUSED, EV_TEXT ("instance", i->entry->id),
       EV_TEXT ("code", sqc_name (code)), EV_INT ("links", i->links->len));
   ctr_add (p->o.counters, CTR_CONNECTION_FAILED, 1);
-  note_heard (p, i, now_us);
+  if (link->home)
+    plr_blame_home (p, link, now_us);
+  else
+    note_heard (p, i, now_us);
   if (code != SQC_CONNECTION_LIMIT)
     back_off (i, now_us);
   else if (i->links->len > 1)
@@ -480,7 +510,9 @@
       ctr_add (p->o.counters, CTR_CONNECTION_FAILED, 1);
       back_off (i, now_us);
     }
-  if (refused && i->refused_us == 0)
+  if (link->home)
+    plr_blame_home (p, link, now_us);
+  else if (refused && i->refused_us == 0)
     i->refused_us = now_us;
   if (refused)
     i->question_us = 0;
@@ -494,7 +526,13 @@
 {
   bool sent = s->stage == SES_SENT && !s->proving;
 
-  if (s->stage == SES_RESTING)
+  if (s->relay_to)
+    {
+      /* Its proxy knows best what a lost connection means.  */
+      plr_release (p, s, now_us);
+      p->o.callers->ops->hang_up (p->o.callers, s->tag);
+    }
+  else if (s->stage == SES_RESTING)
     {
       /* Between two statements: the next one hears of it.  */
       s->work.lost = true;
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -18,7 +18,9 @@
   g_queue_init (&p->sessions);
   g_queue_init (&p->active);
   p->dead = g_ptr_array_new ();
-  p->n_vms = 1;
+  rly_init (&p->vms, options->vm, options->regions);
+  p->bad_homes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->directory_reachable = true;
   p->random = options->seed;
   return p;
@@ -59,6 +61,8 @@
   g_ptr_array_free (p->dead, TRUE);
   dir_config_free (p->config);
   ses_shapes_free (p->shapes);
+  rly_free (&p->vms);
+  g_hash_table_destroy (p->bad_homes);
   g_free (p);
 }
 
@@ -89,9 +93,16 @@
 }
 
 void
-plr_set_vms (struct plr *p, uint32_t n)
+plr_set_vm (struct plr *p, const char *name, const char *address,
+            const char *data_centre, double capacity)
 {
-  p->n_vms = MAX (n, 1);
+  rly_set (&p->vms, name, address, data_centre, capacity);
+}
+
+void
+plr_remove_vm (struct plr *p, const char *name)
+{
+  rly_remove (&p->vms, name);
 }
 
 struct ses *
@@ -305,7 +316,9 @@
 {
   struct stm_end end;
 
-  if (statement->kind == STM_MALFORMED)
+  if (s->relay_to)
+    plr_relay_statement (p, s, statement, now_us);
+  else if (statement->kind == STM_MALFORMED)
     reject (p, s, statement, RFS_MALFORMED_STATEMENT, SQC_MALFORMED,
             s->state == STM_IDLE ? STM_IDLE : STM_BROKEN, now_us);
   else if (statement->kind == STM_ROLLBACK && s->state == STM_OPEN)
@@ -359,7 +372,7 @@
       struct ses *s = l->data;
 
       next = l->next;
-      if (!is_busy (s))
+      if (!is_busy (s) || (force && s->relay_to))
         p->o.callers->ops->hang_up (p->o.callers, s->tag);
       else if (force && s->stage == SES_RESTING && s->link)
         {
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -32,6 +32,7 @@
   struct ul_port *upstreams;
   struct ctr_set *counters;
   struct ev_log *log; /* NULL: no log */
+  const char *vm;
   const char *data_centre;
   GHashTable *regions; /* data centre -> region, borrowed */
   uint64_t seed;       /* of jitter */
@@ -66,8 +67,11 @@
 /* Whether the directory can be trusted to be current.  While it can't,
    missing instances stay in use.  */
 void plr_directory_state (struct plr *p, bool reachable, int64_t now_us);
-/* Proxies that share the upstreams' connections, this one included.  */
-void plr_set_vms (struct plr *p, uint32_t n);
+/* Proxies that share the upstreams' connections, this one included.  See
+   rly_set.  */
+void plr_set_vm (struct plr *p, const char *name, const char *address,
+                 const char *data_centre, double capacity);
+void plr_remove_vm (struct plr *p, const char *name);
 
 /* Connections.  */
 
@@ -82,6 +86,13 @@
 /* NULL when the database has no route.  */
 struct ses *plr_open_session (struct plr *p, void *tag, const char *database,
                               int64_t now_us);
+/* A session of another proxy that reaches INSTANCE through this one; its
+   statements are passed on as they are.  NULL when this proxy is no home of
+   the instance or can't reach it.  */
+struct ses *plr_open_relay (struct plr *p, void *tag, const char *service,
+                            const char *instance, int64_t now_us);
+/* The position that the next statement of a relay session asks for.  */
+void plr_relay_after (struct ses *s, struct lp after);
 /* One statement at a time; the answer may come before this returns.  */
 void plr_statement (struct plr *p, struct ses *s, const struct stm *statement,
                     int64_t now_us);
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -17,7 +17,8 @@
   GQueue sessions; /* struct ses * */
   GQueue active;   /* those with a statement under way */
   GPtrArray *dead; /* links to free, struct ul * */
-  uint32_t n_vms;
+  struct rly_table vms;
+  GHashTable *bad_homes; /* name -> int64_t *, not used before */
   bool directory_reachable;
   bool draining;
   uint64_t random;
@@ -36,9 +37,12 @@
 /* Opens a connection.  */
 struct ul *plr_open_link (struct plr *p, struct svc_instance *i,
                           int64_t now_us);
-struct plc_limits plr_limits (const struct plr *p, const struct svc *s);
+/* Brings homes and limits of the instances of S up to date.  */
+void plr_update_homes (struct plr *p, struct svc *s);
+/* The home that LINK goes through failed.  */
+void plr_blame_home (struct plr *p, const struct ul *link, int64_t now_us);
 /* True when this proxy has more connections to I than its share.  */
-bool plr_has_surplus (const struct plr *p, const struct svc_instance *i);
+bool plr_has_surplus (const struct svc_instance *i);
 /* Takes the connection from S; what it still owes is dropped.  */
 void plr_release (struct plr *p, struct ses *s, int64_t now_us);
 /* Gives a connection that nobody holds to the next user, or cleans it.  */
@@ -71,6 +75,19 @@
                       struct lp position, int64_t now_us);
 void plr_note_denied (struct plr *p, struct svc_instance *i, int64_t now_us);
 
+/* poolrelay.c */
+
+/* Sends the statement of a relay session, or lets it wait.  */
+void plr_start_relay (struct plr *p, struct ses *s, int64_t now_us);
+/* Takes a statement of a relay session.  */
+void plr_relay_statement (struct plr *p, struct ses *s,
+                          const struct stm *statement, int64_t now_us);
+/* The upstream's answer for a relay session.  */
+void plr_relay_answer (struct plr *p, struct ses *s, const struct stm_end *end,
+                       int64_t now_us);
+/* What a relay session waited for can't be had: nothing was sent.  */
+void plr_relay_refuse (struct plr *p, struct ses *s, int64_t now_us);
+
 /* poolwatch.c */
 
 /* Makes sure that the primary of S is being looked for.  */
@@ -81,5 +98,9 @@
 void plr_leave_queues (struct plr *p, struct ses *s);
 /* Ends the transaction or lone statement of S.  */
 void plr_end_work (struct ses *s);
+/* Puts S into the queue for a connection, and takes it out to be sent on
+   LINK.  */
+void plr_wait (struct ses *s);
+void plr_hold (struct ses *s, struct ul *link);
 
 #endif
--- /dev/null
+++ b/packages/core/poolrelay.c
@@ -0,0 +1,181 @@
+/* Relay sessions: statements of other proxies, passed on as they are to one
+   instance that this proxy holds connections to.  Tries, time limits and
+   promises are the other proxy's; this one keeps values, prepared statements
+   and transactions apart and shares the connections.  */
+#include "poolerint.h"
+
+/* A statement waits so long for a connection; then its proxy decides anew.  */
+#define RELAY_WAIT_US 500000
+
+struct ses *
+plr_open_relay (struct plr *p, void *tag, const char *service,
+                const char *instance, int64_t now_us)
+{
+  struct svc *svc = g_hash_table_lookup (p->services, service);
+  struct svc_instance *i = svc ? svc_find (svc, instance) : NULL;
+  struct ses *s;
+
+  if (!i)
+    return NULL;
+  plr_update_homes (p, svc);
+  if (i->dark || i->refused_us > 0 || !(i->homes.direct || i->homes.own))
+    return NULL;
+  s = ses_new (tag, service, now_us);
+  s->relay_to = g_strdup (instance);
+  g_queue_push_tail_link (&p->sessions, &s->node);
+  return s;
+}
+
+void
+plr_relay_after (struct ses *s, struct lp after)
+{
+  s->after = after;
+}
+
+static struct svc_instance *
+target_of (const struct plr *p, const struct ses *s)
+{
+  struct svc *svc = g_hash_table_lookup (p->services, s->database);
+
+  return svc ? svc_find (svc, s->relay_to) : NULL;
+}
+
+static void
+hang_up (struct plr *p, struct ses *s)
+{
+  p->o.callers->ops->hang_up (p->o.callers, s->tag);
+}
+
+/* Answers without the instance.  */
+static void
+answer_own (struct plr *p, struct ses *s, bool ok, enum sqc code,
+            int64_t now_us)
+{
+  struct stm_end end = { .ok = ok, .code = code };
+
+  plr_leave_queues (p, s);
+  end.state = s->state;
+  ses_rest (s, now_us);
+  p->o.callers->ops->answer (p->o.callers, s->tag, &end);
+}
+
+void
+plr_relay_refuse (struct plr *p, struct ses *s, int64_t now_us)
+{
+  answer_own (p, s, false, SQC_BUSY, now_us);
+}
+
+static enum ul_purpose
+purpose_of (enum stm_kind kind)
+{
+  switch (kind)
+    {
+    case STM_BEGIN:
+    case STM_BEGIN_READ:
+      return UL_BEGIN;
+    case STM_ROLLBACK:
+      return UL_END;
+    case STM_STATUS:
+      return UL_STATUS;
+    case STM_STEP_DOWN:
+      return UL_STEP_DOWN;
+    default:
+      return UL_STATEMENT;
+    }
+}
+
+static void
+send_relay (struct plr *p, struct ses *s, int64_t now_us)
+{
+  struct stm out = s->statement;
+  const struct ses_shape *shape
+      = out.kind == STM_EXECUTE ? ses_shape_of (s, &out) : NULL;
+
+  ul_sync_values (s->link, s->values, s->values_sum, now_us);
+  if (shape)
+    {
+      ul_sync_prepared (s->link, shape->id, shape->upstream_name,
+                        shape->writes, shape->text, now_us);
+      out.name = shape->upstream_name;
+    }
+  ctr_add (p->o.counters, CTR_RELAYED, 1);
+  s->stage = SES_SENT;
+  s->sent_us = now_us;
+  ul_ask (s->link, purpose_of (out.kind), s->after, &out, s, now_us);
+}
+
+void
+plr_start_relay (struct plr *p, struct ses *s, int64_t now_us)
+{
+  struct svc_instance *i = target_of (p, s);
+  struct plc_choice choice;
+
+  if (s->link)
+    {
+      send_relay (p, s, now_us);
+      return;
+    }
+  plr_wait (s);
+  if (!i || i->dark)
+    return; /* its time runs out, or the instance comes back */
+  choice = plc_choose_at (i, now_us);
+  if (choice.verdict == PLC_OPEN && i->n_opening < 2)
+    plr_open_link (p, i, now_us);
+  if (choice.verdict != PLC_USE)
+    return;
+  plr_hold (s, choice.link);
+  send_relay (p, s, now_us);
+}
+
+void
+plr_relay_statement (struct plr *p, struct ses *s, const struct stm *statement,
+                     int64_t now_us)
+{
+  struct svc_instance *i = target_of (p, s);
+  struct stm_end end;
+
+  if (!i || (i->dark && !s->link))
+    {
+      hang_up (p, s);
+      return;
+    }
+  if (statement->kind == STM_RESET)
+    {
+      ses_reset (s, p->shapes);
+      answer_own (p, s, true, SQC_FAILED, now_us);
+    }
+  else if (statement->kind == STM_MALFORMED)
+    answer_own (p, s, false, SQC_MALFORMED, now_us);
+  else if (statement->kind == STM_ROLLBACK && !s->link)
+    {
+      s->state = STM_IDLE;
+      answer_own (p, s, true, SQC_FAILED, now_us);
+    }
+  else if (ses_run_local (s, p->shapes, statement, &end))
+    answer_own (p, s, end.ok, end.code, now_us);
+  else if (statement->kind == STM_EXECUTE && !ses_shape_of (s, statement))
+    answer_own (p, s, false, SQC_NO_STATEMENT, now_us);
+  else
+    {
+      ses_take (s, statement, now_us);
+      s->work.svc = i->svc;
+      s->work.timeout_us = RELAY_WAIT_US;
+      s->work.priority = 0;
+      s->stage = SES_SENT;
+      s->sent_us = 0;
+      g_queue_push_tail_link (&p->active, &s->active);
+      plr_start (p, s, now_us);
+    }
+}
+
+void
+plr_relay_answer (struct plr *p, struct ses *s, const struct stm_end *end,
+                  int64_t now_us)
+{
+  plr_leave_queues (p, s);
+  s->state = end->state;
+  if (end->state == STM_IDLE)
+    plr_release (p, s, now_us);
+  ses_rest (s, now_us);
+  p->o.callers->ops->answer (p->o.callers, s->tag, end);
+}
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -1,10 +1,14 @@
 /* Placing and sending statements.  */
 #include "poolerint.h"
 
+#include "rendezvous.h"
+
 /* Allowance for clocks that run at slightly different speeds.  */
 #define AGE_MARGIN_US 20000
 /* After so many copies that lacked the position the primary is asked.  */
 #define BEHIND_TRIES 2
+/* A home that failed is not gone through for so long.  */
+#define BAD_HOME_US 1500000
 
 static const struct lp nowhere;
 
@@ -37,26 +41,84 @@
   return need;
 }
 
-struct plc_limits
-plr_limits (const struct plr *p, const struct svc *s)
+void
+plr_update_homes (struct plr *p, struct svc *s)
 {
-  return plc_limits_for (s->connections_max, p->n_vms);
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+      if (i->homes.generation == p->vms.generation)
+        continue;
+      rly_find_homes (&p->vms, i->entry, s->connections_max, &i->homes);
+      i->limits
+          = plc_limits_for (s->connections_max, p->vms.vms->len, &i->homes);
+    }
 }
 
 bool
-plr_has_surplus (const struct plr *p, const struct svc_instance *i)
+plr_has_surplus (const struct svc_instance *i)
+{
+  return i->links->len > MAX (i->limits.share, 1);
+}
+
+static bool
+is_bad_home (const struct plr *p, const struct rly_vm *vm, int64_t now_us)
 {
-  return i->links->len > MAX (plr_limits (p, i->svc).share, 1);
+  const int64_t *until_us = g_hash_table_lookup (p->bad_homes, vm->name);
+
+  return until_us && now_us < *until_us;
+}
+
+void
+plr_blame_home (struct plr *p, const struct ul *link, int64_t now_us)
+{
+  int64_t *until_us;
+
+  if (!link->home)
+    return;
+  until_us = g_new (int64_t, 1);
+  *until_us = now_us + BAD_HOME_US;
+  g_hash_table_replace (p->bad_homes, g_strdup (link->home), until_us);
+  EV (p->o.log, now_us, EV_PEER, EV_TEXT ("peer", link->home),
+      EV_TEXT ("what", "no help as a home"),
+      EV_TEXT ("instance", link->instance->entry->id));
+}
+
+/* The home to go through: each proxy has its own order of them.  */
+static const struct rly_vm *
+home_for (const struct plr *p, const struct svc_instance *i, int64_t now_us)
+{
+  const struct rly_homes *h = &i->homes;
+  uint64_t first;
+
+  if (h->direct || h->own || h->n == 0)
+    return NULL;
+  first = rdv_weight (i->entry->id, p->o.vm);
+  for (uint32_t k = 0; k < h->n; k++)
+    {
+      const struct rly_vm *vm = h->vms[(first + k) % h->n];
+
+      if (!is_bad_home (p, vm, now_us))
+        return vm;
+    }
+  return h->vms[first % h->n];
 }
 
 struct ul *
 plr_open_link (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
-  ctr_add (p->o.counters, CTR_CONNECTION_OPENED, 1);
+  const struct rly_vm *home;
+
+  plr_update_homes (p, i->svc);
+  home = home_for (p, i, now_us);
   i->n_opening++;
+  if (home)
+    return ul_new (p->o.upstreams, i, home, now_us);
+  ctr_add (p->o.counters, CTR_CONNECTION_OPENED, 1);
   if (i->question_us == 0)
     i->question_us = now_us;
-  return ul_new (p->o.upstreams, i, now_us);
+  return ul_new (p->o.upstreams, i, NULL, now_us);
 }
 
 /* True when X goes before Y, which came to the queue earlier.  */
@@ -68,8 +130,8 @@
   return x->arrived_us < y->arrived_us;
 }
 
-static void
-wait_for_room (struct ses *s)
+void
+plr_wait (struct ses *s)
 {
   GQueue *q = &s->work.svc->waiting;
   GList *at;
@@ -170,9 +232,10 @@
   send_on (p, s, &need, now_us);
 }
 
-static void
-hold (struct ses *s, struct ul *link)
+void
+plr_hold (struct ses *s, struct ul *link)
 {
+  stop_waiting (s);
   s->link = link;
   link->session = s;
   link->instance->n_in_use++;
@@ -195,12 +258,18 @@
   struct plc_choice choice;
 
   svc->wanted_us = now_us;
+  plr_update_homes (p, svc);
+  if (s->relay_to)
+    {
+      plr_start_relay (p, s, now_us);
+      return;
+    }
   if (s->link)
     {
       plr_send (p, s, now_us);
       return;
     }
-  wait_for_room (s);
+  plr_wait (s);
   if (now_us < s->retry_us)
     return;
   need = need_of (s);
@@ -209,13 +278,12 @@
       plr_seek_leader (p, svc, now_us);
       return;
     }
-  choice = plc_choose (svc, &need, plr_limits (p, svc), now_us);
+  choice = plc_choose (svc, &need, now_us);
   if (choice.verdict == PLC_OPEN)
     open_for_waiting (p, choice.instance, now_us);
   if (choice.verdict != PLC_USE)
     return;
-  stop_waiting (s);
-  hold (s, choice.link);
+  plr_hold (s, choice.link);
   s->proving = false;
   s->wrapped = false;
   s->retry_us = 0;
@@ -268,7 +336,7 @@
     }
   link->ending = false;
   link->idle_since_us = now_us;
-  if (link->instance->yielding && plr_has_surplus (p, link->instance))
+  if (link->instance->yielding && plr_has_surplus (link->instance))
     {
       link->instance->yielding = false;
       plr_drop_link (p, link, now_us);
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -87,7 +87,7 @@
       struct ses *s = l->data;
 
       next = l->next;
-      if (s->link && s->link->instance == i && !s->writes
+      if (s->link && s->link->instance == i && !s->writes && !s->relay_to
           && !s->work.transaction)
         plr_retry (p, s, RETRY_INSTANCE_DARK, 0, now_us);
     }
@@ -103,6 +103,13 @@
         EV_INT ("heard_us", now_us - i->heard_us),
         EV_INT ("links", i->links->len));
   i->dark = true;
+  for (guint n = 0; n < i->links->len; n++)
+    {
+      const struct ul *link = g_ptr_array_index (i->links, n);
+
+      if (link->questions->len > 0 || link->phase == UL_OPENING)
+        plr_blame_home (p, link, now_us);
+    }
   move_reads (p, i, now_us);
   drop_links (p, i, false, now_us);
   i->question_us = 0;
@@ -180,14 +187,14 @@
 /* True when LINK rested so long that its place is better left to others: one
    beyond the share soon, the last one to a replica that isn't used later.  */
 static bool
-is_spare (const struct plr *p, const struct ul *link, int64_t now_us)
+is_spare (const struct ul *link, int64_t now_us)
 {
   const struct svc_instance *i = link->instance;
   int64_t rested_us = now_us - link->idle_since_us;
 
   if (!ul_is_idle (link))
     return false;
-  if (plr_has_surplus (p, i))
+  if (plr_has_surplus (i))
     return rested_us >= SURPLUS_REST_US;
   return i->svc->leader && i->svc->leader != i && rested_us >= REPLICA_REST_US;
 }
@@ -201,7 +208,7 @@
     {
       struct ul *link = g_ptr_array_index (i->links, n - 1);
 
-      if (!is_spare (p, link, now_us))
+      if (!is_spare (link, now_us))
         continue;
       ctr_add (p->o.counters, CTR_LINKS_TRIMMED, 1);
       plr_drop_link (p, link, now_us);
@@ -234,7 +241,7 @@
   struct svc_instance *i = s ? svc_find (s, instance) : NULL;
   struct ul *link = i ? plc_idle_link (i) : NULL;
 
-  if (!i || !plr_has_surplus (p, i))
+  if (!i || !plr_has_surplus (i))
     return;
   ctr_add (p->o.counters, CTR_LINKS_YIELDED, 1);
   i->open_after_us = MAX (i->open_after_us, now_us + SURPLUS_REST_US);
@@ -334,6 +341,7 @@
 {
   if (now_us - s->wanted_us > WANTED_US)
     return;
+  plr_update_homes (p, s);
   for (guint n = s->instances->len; n > 0; n--)
     {
       struct svc_instance *i = g_ptr_array_index (s->instances, n - 1);
@@ -369,7 +377,13 @@
   bool sent = s->stage == SES_SENT && s->link;
   int64_t since_us = sent ? s->sent_us : s->arrived_us;
 
-  if (now_us - since_us > s->work.timeout_us)
+  if (s->relay_to)
+    {
+      /* The proxy that sent it keeps the time of what is under way.  */
+      if (!sent && now_us - since_us > s->work.timeout_us)
+        plr_relay_refuse (p, s, now_us);
+    }
+  else if (now_us - since_us > s->work.timeout_us)
     plr_expire (p, s, now_us);
   else if (sent && is_answer_lost (s, now_us))
     plr_answer_lost (p, s, now_us);
@@ -390,7 +404,7 @@
     {
       struct ses *s = l->data;
 
-      if (s->stage != SES_RESTING || !s->link
+      if (s->stage != SES_RESTING || !s->link || s->relay_to
           || now_us - s->rested_us < limit_us)
         continue;
       s->work.lost = true;
@@ -485,6 +499,8 @@
       const struct dir_service *d = value;
       struct svc *s = plr_service (p, d->name);
 
+      if (s->connections_max != d->connections_max)
+        p->vms.generation++;
       s->connections_max = d->connections_max;
       s->sync = d->sync;
     }
--- /dev/null
+++ b/packages/core/relay.c
@@ -0,0 +1,133 @@
+/* Homes of instances.  */
+#include "relay.h"
+
+#include "rendezvous.h"
+#include <math.h>
+#include <string.h>
+
+/* Added for a proxy in the instance's region and data centre: more than any
+   hash, so that nearness goes first.  */
+#define NEAR_SCORE 1e12
+/* A proxy that doesn't say what it can carry.  */
+#define CAPACITY_DEFAULT 0.25
+
+void
+rly_init (struct rly_table *t, const char *own, GHashTable *regions)
+{
+  t->vms = g_ptr_array_new ();
+  t->generation = 1;
+  t->own = g_strdup (own);
+  t->regions = regions;
+}
+
+static void
+free_vm (struct rly_vm *vm)
+{
+  g_free (vm->name);
+  g_free (vm->address);
+  g_free (vm->data_centre);
+  g_free (vm);
+}
+
+void
+rly_free (struct rly_table *t)
+{
+  for (guint i = 0; i < t->vms->len; i++)
+    free_vm (g_ptr_array_index (t->vms, i));
+  g_ptr_array_free (t->vms, TRUE);
+  g_free (t->own);
+}
+
+void
+rly_remove (struct rly_table *t, const char *name)
+{
+  for (guint i = 0; i < t->vms->len; i++)
+    {
+      struct rly_vm *vm = g_ptr_array_index (t->vms, i);
+
+      if (strcmp (vm->name, name) != 0)
+        continue;
+      g_ptr_array_remove_index_fast (t->vms, i);
+      free_vm (vm);
+      t->generation++;
+      return;
+    }
+}
+
+void
+rly_set (struct rly_table *t, const char *name, const char *address,
+         const char *data_centre, double capacity)
+{
+  struct rly_vm *vm = g_new0 (struct rly_vm, 1);
+
+  rly_remove (t, name);
+  vm->name = g_strdup (name);
+  vm->address = g_strdup (address);
+  vm->data_centre = g_strdup (data_centre);
+  vm->capacity = capacity > 0 ? capacity : CAPACITY_DEFAULT;
+  g_ptr_array_add (t->vms, vm);
+  t->generation++;
+}
+
+/* Weighted rendezvous score, raised for nearness.  */
+static double
+score_of (const struct rly_table *t, const struct rly_vm *vm,
+          const struct dir_instance *instance)
+{
+  double share = ((double)rdv_weight (instance->id, vm->name) + 1)
+                 / 18446744073709551617.0;
+  double score = -vm->capacity / log (share);
+  const char *region = g_hash_table_lookup (t->regions, vm->data_centre);
+  const char *wanted = g_hash_table_lookup (t->regions, instance->data_centre);
+
+  if (strcmp (vm->data_centre, instance->data_centre) == 0)
+    score += NEAR_SCORE;
+  if (region && wanted && strcmp (region, wanted) == 0)
+    score += NEAR_SCORE;
+  return score;
+}
+
+/* Puts VM into the list of the best, of at most MOST.  */
+static void
+insert (struct rly_homes *out, double *scores, uint32_t most,
+        const struct rly_vm *vm, double score)
+{
+  uint32_t at = out->n;
+
+  while (at > 0 && scores[at - 1] < score)
+    at--;
+  if (at >= most)
+    return;
+  if (out->n < most)
+    out->n++;
+  for (uint32_t k = out->n - 1; k > at; k--)
+    {
+      out->vms[k] = out->vms[k - 1];
+      scores[k] = scores[k - 1];
+    }
+  out->vms[at] = vm;
+  scores[at] = score;
+}
+
+void
+rly_find_homes (const struct rly_table *t, const struct dir_instance *instance,
+                int32_t connections_max, struct rly_homes *out)
+{
+  double scores[RLY_HOMES_MAX];
+  uint32_t most = CLAMP ((uint32_t)MAX (connections_max, 0) / RLY_LINKS_A_HOME,
+                         2, RLY_HOMES_MAX);
+
+  memset (out, 0, sizeof *out);
+  out->generation = t->generation;
+  out->direct = t->vms->len <= (guint)MAX (connections_max, 1);
+  if (out->direct)
+    return;
+  for (guint i = 0; i < t->vms->len; i++)
+    {
+      const struct rly_vm *vm = g_ptr_array_index (t->vms, i);
+
+      insert (out, scores, most, vm, score_of (t, vm, instance));
+    }
+  for (uint32_t k = 0; k < out->n; k++)
+    out->own |= strcmp (out->vms[k]->name, t->own) == 0;
+}
--- /dev/null
+++ b/packages/core/relay.h
@@ -0,0 +1,55 @@
+/* Which proxies hold the connections to an instance.  Where its limit allows
+   one for each proxy, all go directly.  Else a few homes share the limit and
+   the other proxies send their statements through them, so that the limited
+   connections serve all, and no statement pays for opening one.  */
+#ifndef CB_RELAY_H
+#define CB_RELAY_H
+
+#include "dir.h"
+
+/* Homes of one instance: enough that losing one leaves most connections, few
+   enough that each has several to share among those it serves.  */
+#define RLY_HOMES_MAX 4
+#define RLY_LINKS_A_HOME 8
+
+/* A proxy of the deployment.  */
+struct rly_vm
+{
+  char *name;
+  char *address; /* host:port where it takes other proxies' statements */
+  char *data_centre;
+  double capacity; /* in cores */
+};
+
+/* All proxies known, this one included.  */
+struct rly_table
+{
+  GPtrArray *vms;      /* struct rly_vm * */
+  uint64_t generation; /* changes with every change */
+  char *own;
+  GHashTable *regions; /* data centre -> region, borrowed */
+};
+
+/* The homes of an instance.  The VMs are borrowed until GENERATION passes.  */
+struct rly_homes
+{
+  uint64_t generation;
+  bool direct; /* every proxy goes directly */
+  bool own;    /* this proxy is a home */
+  uint32_t n;
+  const struct rly_vm *vms[RLY_HOMES_MAX];
+};
+
+void rly_init (struct rly_table *t, const char *own, GHashTable *regions);
+void rly_free (struct rly_table *t);
+/* Adds or changes a proxy; all texts are copied.  */
+void rly_set (struct rly_table *t, const char *name, const char *address,
+              const char *data_centre, double capacity);
+void rly_remove (struct rly_table *t, const char *name);
+/* The homes of INSTANCE, by weighted rendezvous hashing: near ones first, the
+   strong more often; a proxy that comes or goes moves only its own.  */
+void rly_find_homes (const struct rly_table *t,
+                     const struct dir_instance *instance,
+                     int32_t connections_max, struct rly_homes *out);
+
+#endif
--- a/packages/core/session.c
+++ b/packages/core/session.c
@@ -75,7 +75,7 @@
 }
 
 void
-ses_free (struct ses *s, struct ses_shapes *shapes)
+ses_reset (struct ses *s, struct ses_shapes *shapes)
 {
   GHashTableIter iter;
   gpointer shape;
@@ -89,6 +89,16 @@
     }
   if (s->values)
     g_hash_table_destroy (s->values);
+  s->prepared = NULL;
+  s->values = NULL;
+  s->values_sum = 0;
+}
+
+void
+ses_free (struct ses *s, struct ses_shapes *shapes)
+{
+  ses_reset (s, shapes);
+  g_free (s->relay_to);
   g_free (s->text);
   g_free (s->database);
   g_free (s);
--- a/packages/core/session.h
+++ b/packages/core/session.h
@@ -57,6 +57,8 @@
 {
   void *tag; /* the adapter's */
   char *database;
+  char *relay_to;  /* instance that another proxy reaches, NULL = a caller's */
+  struct lp after; /* of its next statement */
   enum stm_state state;
   GHashTable *values; /* NULL until one is set */
   uint64_t values_sum;
@@ -92,6 +94,8 @@
 /* Forgets it.  */
 void ses_rest (struct ses *s, int64_t now_us);
 
+/* Drops values and prepared statements.  */
+void ses_reset (struct ses *s, struct ses_shapes *shapes);
 /* Answers SET, PREPARE and FORGET from the session alone.  True when it was
    one of these; END then holds the answer.  */
 bool ses_run_local (struct ses *s, struct ses_shapes *shapes,
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -8,6 +8,7 @@
 #define CB_SVC_H
 
 #include "dir.h"
+#include "relay.h"
 #include "stm.h"
 
 /* The largest age asked for divided by the gap fits into the ring.  */
@@ -17,6 +18,13 @@
 
 struct svc;
 
+/* How many connections this VM may have to one instance.  */
+struct svc_limits
+{
+  uint32_t share; /* kept open */
+  uint32_t most;  /* for a short while */
+};
+
 /* One instance.  */
 struct svc_instance
 {
@@ -24,6 +32,8 @@
   struct dir_instance *entry; /* owned */
   int64_t missing_since_us;   /* the directory lost it then, 0 = listed */
   int64_t draining_since_us;  /* it was first listed as draining, 0 = not */
+  struct rly_homes homes;     /* who holds connections to it */
+  struct svc_limits limits;   /* of this proxy, by the homes */
   GPtrArray *links;           /* struct ul *, owned by the pooler */
   uint32_t n_opening;
   uint32_t n_in_use;     /* links with a statement or transaction */
@@ -67,11 +77,11 @@
   int64_t leaderless_us;       /* since then; 0 while a leader is known */
   struct svc_sample samples[SVC_SAMPLES]; /* oldest first */
   uint32_t n_samples;
-  GQueue waiting;    /* struct ses *, by priority and arrival */
-  int64_t wanted_us; /* last time a session used it */
-  int64_t probed_us; /* last question for the lead */
-  int64_t pressure_us;  /* waiting was logged then */
-  int64_t leave_us;  /* an instance that leaves may lead on for so long */
+  GQueue waiting;      /* struct ses *, by priority and arrival */
+  int64_t wanted_us;   /* last time a session used it */
+  int64_t probed_us;   /* last question for the lead */
+  int64_t pressure_us; /* waiting was logged then */
+  int64_t leave_us;    /* an instance that leaves may lead on for so long */
 };
 
 struct svc *svc_new (const char *name);
--- a/packages/core/uplink.c
+++ b/packages/core/uplink.c
@@ -7,7 +7,8 @@
 static const struct lp nowhere;
 
 struct ul *
-ul_new (struct ul_port *port, struct svc_instance *instance, int64_t now_us)
+ul_new (struct ul_port *port, struct svc_instance *instance,
+        const struct rly_vm *home, int64_t now_us)
 {
   struct ul *link = g_new0 (struct ul, 1);
 
@@ -18,7 +19,9 @@
   link->opened_us = now_us;
   link->idle_since_us = now_us;
   g_ptr_array_add (instance->links, link);
-  link->handle = port->ops->open (port, link, instance->entry);
+  link->home = home ? g_strdup (home->name) : NULL;
+  link->handle = port->ops->open (port, link, instance->entry,
+                                  home ? home->address : NULL);
   return link;
 }
 
@@ -38,6 +41,7 @@
 {
   ul_close (link);
   g_array_free (link->questions, TRUE);
+  g_free (link->home);
   if (link->values)
     g_hash_table_destroy (link->values);
   if (link->prepared)
--- a/packages/core/uplink.h
+++ b/packages/core/uplink.h
@@ -42,9 +42,10 @@
 
 struct ul_port_ops
 {
-  /* Starts connecting LINK; returns the adapter's handle.  */
+  /* Starts connecting LINK, directly or through the proxy at HOME (host:port,
+     NULL: directly); returns the adapter's handle.  */
   void *(*open) (struct ul_port *port, struct ul *link,
-                 const struct dir_instance *instance);
+                 const struct dir_instance *instance, const char *home);
   /* Queues STATEMENT, to run only where the log holds AFTER when that is
      known.  */
   void (*send) (struct ul_port *port, void *handle, struct lp after,
@@ -63,6 +64,7 @@
   struct ul_port *port;
   void *handle;
   struct svc_instance *instance;
+  char *home; /* proxy that it goes through, NULL = directly */
   enum ul_phase phase;
   GArray *questions;    /* struct ul_question, oldest first */
   enum stm_state state; /* by the last answer */
@@ -78,7 +80,7 @@
 };
 
 struct ul *ul_new (struct ul_port *port, struct svc_instance *instance,
-                   int64_t now_us);
+                   const struct rly_vm *home, int64_t now_us);
 /* Closes the connection and takes it from its instance; LINK itself lives
    on until ul_free.  */
 void ul_close (struct ul *link);
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -206,19 +206,24 @@
 }
 
 void
-cluster_set_vm (struct cluster *c, const char *vm, const char *address,
-                int64_t now_us)
-{
-  bool known = g_hash_table_contains (c->vms, vm);
-
-  if (known != (address != NULL))
-    EV (c->o.log, now_us, EV_PEER, EV_TEXT ("peer", vm),
-        EV_TEXT ("what", address ? "listed" : "gone"));
-  if (address)
-    g_hash_table_replace (c->vms, g_strdup (vm), g_strdup (address));
-  else
-    g_hash_table_remove (c->vms, vm);
-  plr_set_vms (c->o.pooler, g_hash_table_size (c->vms));
+cluster_set_vm (struct cluster *c, const struct cluster_vm *vm, int64_t now_us)
+{
+  if (!g_hash_table_contains (c->vms, vm->name))
+    EV (c->o.log, now_us, EV_PEER, EV_TEXT ("peer", vm->name),
+        EV_TEXT ("what", "listed"));
+  g_hash_table_replace (c->vms, g_strdup (vm->name), g_strdup (vm->address));
+  plr_set_vm (c->o.pooler, vm->name, vm->relay_address, vm->data_centre,
+              vm->capacity);
+}
+
+void
+cluster_remove_vm (struct cluster *c, const char *name, int64_t now_us)
+{
+  if (!g_hash_table_remove (c->vms, name))
+    return;
+  EV (c->o.log, now_us, EV_PEER, EV_TEXT ("peer", name),
+      EV_TEXT ("what", "gone"));
+  plr_remove_vm (c->o.pooler, name);
 }
 
 void
--- a/packages/proxy/cluster.h
+++ b/packages/proxy/cluster.h
@@ -39,9 +39,19 @@
                              GError **error);
 void cluster_free (struct cluster *c);
 struct suc *cluster_succession (struct cluster *c);
-/* A proxy at ADDRESS is there, or gone (NULL).  */
-void cluster_set_vm (struct cluster *c, const char *vm, const char *address,
+/* A proxy, as it describes itself.  */
+struct cluster_vm
+{
+  const char *name;
+  const char *address;       /* host:port for peers */
+  const char *relay_address; /* host:port for statements of other proxies */
+  const char *data_centre;
+  double capacity; /* in cores */
+};
+
+void cluster_set_vm (struct cluster *c, const struct cluster_vm *vm,
                      int64_t now_us);
+void cluster_remove_vm (struct cluster *c, const char *name, int64_t now_us);
 /* Asks one peer for what is newer than REVISION in the directory.  */
 void cluster_ask_directory (struct cluster *c, uint64_t revision);
 /* Call after each turn of the loop.  */
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -1,6 +1,8 @@
 /* The session pooler on sockets.  */
 #include "gate.h"
 
+#include "decl.h"
+
 #include <errno.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -13,14 +15,23 @@
 #define UPSTREAM_KEEPALIVE_S 1
 #define CALLER_KEEPALIVE_S 10
 
+/* Where callers, or other proxies, connect.  */
+struct listener
+{
+  struct gate *gate;
+  int fd;
+  bool relay;
+  struct loop_source source;
+};
+
 struct gate
 {
   struct gate_options o;
   struct plr *pooler;
   struct plr_port callers_port; /* must be first of the ports used */
   struct ul_port upstreams_port;
-  int listen_fd;
-  struct loop_source listener;
+  struct listener callers_listener;
+  struct listener relay_listener;
   bool open;
   GPtrArray *callers;  /* struct caller * */
   GPtrArray *resuming; /* answered, may have more input */
@@ -33,6 +44,7 @@
   struct gate *gate;
   struct stream *stream;
   struct ses *session; /* NULL before its start */
+  bool relay;          /* another proxy */
   bool busy;           /* a statement is under way */
   bool resuming;
   bool gone;
@@ -132,11 +144,15 @@
 static const struct plr_port_ops callers_ops = { on_answer, on_hang_up };
 
 static void
-start_session (struct caller *c, const char *database, int64_t now_us)
+start_session (struct caller *c, const struct codec_caller *m, int64_t now_us)
 {
   struct gate *g = c->gate;
 
-  c->session = plr_open_session (g->pooler, c, database, now_us);
+  if (c->relay)
+    c->session
+        = plr_open_relay (g->pooler, c, m->database, m->instance, now_us);
+  else
+    c->session = plr_open_session (g->pooler, c, m->database, now_us);
   if (c->session)
     {
       g->o.codec->ops->write_started (g->o.codec, stream_out (c->stream));
@@ -167,14 +183,19 @@
   /* Taken after the bytes were read: they are not newer.  */
   int64_t now_us = loop_now_us ();
 
-  g->o.codec->ops->read_caller (g->o.codec, line, len, &m);
+  if (c->relay)
+    g->o.codec->ops->read_relay (g->o.codec, line, len, &m);
+  else
+    g->o.codec->ops->read_caller (g->o.codec, line, len, &m);
   if (m.kind == CODEC_BYE)
     drop_caller (c, true);
   else if (m.kind == CODEC_START && !c->session)
-    start_session (c, m.database, now_us);
+    start_session (c, &m, now_us);
   else if (m.kind == CODEC_STATEMENT && c->session)
     {
       c->busy = true;
+      if (c->relay)
+        plr_relay_after (c->session, m.after);
       plr_statement (g->pooler, c->session, &m.statement, now_us);
     }
   else
@@ -220,13 +241,15 @@
     = { on_caller_data, on_caller_connected, on_caller_closed };
 
 static void
-accept_one (struct gate *g, int fd)
+accept_one (struct listener *l, int fd)
 {
+  struct gate *g = l->gate;
   struct caller *c = g_new0 (struct caller, 1);
   const struct stream_options options
       = { &caller_stream_ops, c, GATE_CALLER_SILENT_MS, CALLER_KEEPALIVE_S };
 
   c->gate = g;
+  c->relay = l->relay;
   c->stream = stream_new (g->o.streams, fd, &options);
   g_ptr_array_add (g->callers, c);
 }
@@ -234,18 +257,18 @@
 static void
 on_listener (void *arg, uint32_t events)
 {
-  struct gate *g = arg;
+  struct listener *l = arg;
+  struct gate *g = l->gate;
 
   (void)events;
   for (int i = 0; i < ACCEPT_BATCH; i++)
     {
-      int fd
-          = accept4 (g->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int fd = accept4 (l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
       if (fd < 0)
         return;
       if (g->callers->len < g->o.callers_max)
-        accept_one (g, fd);
+        accept_one (l, fd);
       else
         close (fd);
     }
@@ -279,18 +302,24 @@
 
 static void *
 up_open (struct ul_port *port, struct ul *link,
-         const struct dir_instance *instance)
+         const struct dir_instance *instance, const char *home)
 {
   struct gate *g = gate_of_upstreams (port);
   struct up *u = g_new0 (struct up, 1);
+  char *host = NULL;
+  uint16_t number = 0;
   const struct stream_options options
       = { &up_stream_ops, u, GATE_UPSTREAM_SILENT_MS, UPSTREAM_KEEPALIVE_S };
 
   u->gate = g;
   u->link = link;
   u->rows = g_string_new (NULL);
-  u->stream = stream_connect (g->o.streams, instance->host, instance->port,
-                              &options);
+  if (home && dcl_split_address (home, &host, &number))
+    u->stream = stream_connect (g->o.streams, host, number, &options);
+  else
+    u->stream = stream_connect (g->o.streams, instance->host, instance->port,
+                                &options);
+  g_free (host);
   return u;
 }
 
@@ -443,6 +472,34 @@
 
 /* Public.  */
 
+static bool
+init_listener (struct listener *l, struct gate *g, const char *address,
+               GError **error)
+{
+  l->gate = g;
+  l->fd = stream_listen (address, error);
+  return l->fd >= 0;
+}
+
+static void
+open_listener (struct listener *l)
+{
+  l->source.fd = l->fd;
+  l->source.arg = l;
+  l->source.fn = on_listener;
+  loop_set (l->gate->o.loop, &l->source, EPOLLIN);
+}
+
+static void
+free_listener (struct listener *l)
+{
+  if (l->source.fn)
+    loop_remove (l->gate->o.loop, &l->source);
+  if (l->fd >= 0)
+    close (l->fd);
+  l->fd = -1;
+}
+
 struct gate *
 gate_new (const struct gate_options *options, GError **error)
 {
@@ -455,14 +512,15 @@
   g->o.pooler.upstreams = &g->upstreams_port;
   g->callers = g_ptr_array_new ();
   g->resuming = g_ptr_array_new ();
-  g->listen_fd = stream_listen (options->listen, error);
-  if (g->listen_fd < 0)
+  g->callers_listener.fd = -1;
+  g->relay_listener.fd = -1;
+  if (!init_listener (&g->callers_listener, g, options->listen, error)
+      || !init_listener (&g->relay_listener, g, options->relay_listen, error))
     {
       gate_free (g);
       return NULL;
     }
-  g->listener.fd = g->listen_fd;
-  g->listener.arg = g;
+  g->relay_listener.relay = true;
   g->pooler = plr_new (&g->o.pooler, loop_now_us ());
   return g;
 }
@@ -478,10 +536,8 @@
     g_free (g_ptr_array_index (g->resuming, i));
   if (g->pooler)
     plr_free (g->pooler);
-  if (g->open)
-    loop_remove (g->o.loop, &g->listener);
-  if (g->listen_fd >= 0)
-    close (g->listen_fd);
+  free_listener (&g->callers_listener);
+  free_listener (&g->relay_listener);
   g_ptr_array_free (g->callers, TRUE);
   g_ptr_array_free (g->resuming, TRUE);
   g_free (g);
@@ -499,8 +555,8 @@
   if (g->open)
     return;
   g->open = true;
-  g->listener.fn = on_listener;
-  loop_set (g->o.loop, &g->listener, EPOLLIN);
+  open_listener (&g->callers_listener);
+  open_listener (&g->relay_listener);
 }
 
 void
@@ -509,9 +565,8 @@
   if (!g->open)
     return;
   g->open = false;
-  loop_remove (g->o.loop, &g->listener);
-  close (g->listen_fd);
-  g->listen_fd = -1;
+  free_listener (&g->callers_listener);
+  free_listener (&g->relay_listener);
 }
 
 static void
--- a/packages/proxy/gate.h
+++ b/packages/proxy/gate.h
@@ -17,7 +17,8 @@
   struct loop *loop;
   struct stream_set *streams;
   const struct codec *codec;
-  const char *listen; /* host:port for callers */
+  const char *listen;       /* host:port for callers */
+  const char *relay_listen; /* host:port for other proxies' statements */
   uint32_t callers_max;
   struct plr_options pooler; /* its ports are set by the gate */
 };
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -105,12 +105,13 @@
 
 void *
 UpOpen (struct ul_port *port, struct ul *link,
-        const struct dir_instance *instance)
+        const struct dir_instance *instance, const char *home)
 {
   PoolWorld *w = WorldOf (port);
   auto u = std::make_unique<UpConn> ();
   UpConn *raw = u.get ();
 
+  (void)home;
   u->world = w;
   u->link = link;
   u->instance = dbm_find (w->group, instance->id);
@@ -321,6 +322,7 @@
   o.upstreams = &ups_port.port;
   o.counters = counters;
   o.log = &log;
+  o.vm = "vm-1";
   o.data_centre = "a";
   o.regions = regions;
   o.leave_us = 5000000;
