--- a/packages/adapters/probe.c
+++ b/packages/adapters/probe.c
@@ -12,6 +12,7 @@
 {
   struct mg_context *context;
   struct ctr_set *counters;
+  const struct ev_log *log;
   _Atomic bool ready;
 };
 
@@ -34,6 +35,7 @@
   GString *text = g_string_new (NULL);
 
   ctr_write_text (p->counters, text);
+  ev_write_text (p->log, text);
   mg_printf (connection,
              "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
              "Content-Length: %zu\r\nConnection: close\r\n\r\n",
@@ -71,6 +73,7 @@
   memset (&callbacks, 0, sizeof callbacks);
   callbacks.log_message = on_message;
   p->counters = options->counters;
+  p->log = options->log;
   p->context = mg_start (&callbacks, p, settings);
   if (p->context)
     {
--- a/packages/adapters/probe.h
+++ b/packages/adapters/probe.h
@@ -2,7 +2,7 @@
 #ifndef CB_PROBE_H
 #define CB_PROBE_H
 
-#include "reason.h"
+#include "event.h"
 
 struct probe_options
 {
@@ -11,6 +11,7 @@
   const char *ready_path;     /* answers 200 or 503 */
   const char *metrics_path;
   struct ctr_set *counters;
+  const struct ev_log *log;
 };
 
 struct probe;
--- a/packages/core/event.c
+++ b/packages/core/event.c
@@ -82,7 +82,7 @@
     append_field (out, &fields[i]);
   g_string_append (out, "}\n");
   if (!log->sink (log->arg, out->str, out->len))
-    log->dropped++;
+    atomic_fetch_add_explicit (&log->dropped, 1, memory_order_relaxed);
   g_string_free (out, TRUE);
 }
 
@@ -110,7 +110,7 @@
   if (!log)
     return;
   l = &log->limits[event];
-  log->counts[event]++;
+  atomic_fetch_add_explicit (&log->counts[event], 1, memory_order_relaxed);
   if (now_us / SECOND_US != l->second)
     turn_second (log, now_us, event);
   if (l->written >= rows[event].per_s)
@@ -121,3 +121,13 @@
   l->written++;
   emit (log, now_us, event, fields, n_fields);
 }
+
+void
+ev_write_text (const struct ev_log *log, GString *out)
+{
+  for (int i = 0; i < EV_COUNT; i++)
+    g_string_append_printf (out, "cassiabay_events_total{event=\"%s\"} %lu\n",
+                            rows[i].name, atomic_load (&log->counts[i]));
+  g_string_append_printf (out, "cassiabay_log_lines_dropped_total %lu\n",
+                          atomic_load (&log->dropped));
+}
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -3,9 +3,7 @@
 #ifndef CB_EVENT_H
 #define CB_EVENT_H
 
-#include <glib.h>
-#include <stdbool.h>
-#include <stdint.h>
+#include "reason.h"
 
 enum ev
 {
@@ -42,8 +40,8 @@
   ev_sink_fn *sink;
   void *arg;
   struct ev_limit limits[EV_COUNT];
-  uint64_t counts[EV_COUNT]; /* also of lines left out */
-  uint64_t dropped;          /* by the sink */
+  ctr_cell counts[EV_COUNT]; /* also of lines left out */
+  ctr_cell dropped;          /* by the sink */
 };
 
 const char *ev_name (enum ev event);
@@ -54,6 +52,9 @@
 void ev_write (struct ev_log *log, int64_t now_us, enum ev event,
                const struct ev_field *fields, uint32_t n_fields);
 
+/* Appends the counts as text exposition; from any thread.  */
+void ev_write_text (const struct ev_log *log, GString *out);
+
 #define EV(log, now, event, ...)                                              \
   do                                                                          \
     {                                                                         \
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -65,6 +65,8 @@
 
   ctr_add (p->o.counters, CTR_STATEMENTS_OK, 1);
   ctr_observe (p->o.counters, kind_name (s), now_us - s->arrived_us);
+  ctr_observe (p->o.counters, "queue_wait", s->sent_us - s->arrived_us);
+  ctr_observe (p->o.counters, "upstream", now_us - s->sent_us);
   EV (p->o.log, now_us, EV_SERVED, EV_TEXT ("id", s->statement.id),
       EV_TEXT ("kind", kind_name (s)),
       EV_TEXT ("instance", s->link->instance->entry->id),
@@ -97,6 +99,7 @@
 
   atomic_fetch_add_explicit (&p->o.counters->refusal[why], 1,
                              memory_order_relaxed);
+  ctr_observe (p->o.counters, "refused", now_us - s->arrived_us);
   EV (p->o.log, now_us, EV_REFUSED, EV_TEXT ("id", s->statement.id),
       EV_TEXT ("database", s->database), EV_TEXT ("why", rfs_name (why)),
       EV_TEXT ("code", sqc_name (code)), EV_TEXT ("kind", kind_name (s)),
