A fault soak of real processes against the platform's stand-ins

tests/soak runs proxies as processes, callers with sessions and transactions, and stand-ins of store, promotion call and instances in one process on loopback; signals, store faults, silenced, delayed and reset links, lost answers, lag and leaving instances overlap. The model judges each statement; callers conclude from what they read.

--- /dev/null
+++ b/tests/fakes/kvstore.c
@@ -0,0 +1,493 @@
+/* Stand-in of the platform's store.  */
+#include "kvstore.h"
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define THREADS "48"
+#define BODY_MAX (1024 * 1024)
+#define SLOW_MS 300
+/* A silent store keeps its callers for longer than they wait.  */
+#define SILENT_MS 3000
+#define POLL_MS 50
+
+struct item
+{
+  char *key;
+  char *value; /* base64 text, NULL in a tombstone */
+  uint64_t revision;
+  uint64_t created;
+  uint64_t lease;
+};
+
+struct kvs
+{
+  struct mg_context *context;
+  GMutex lock;
+  GCond changed;
+  uint64_t revision;
+  uint64_t lost_before; /* history up to here is gone */
+  uint64_t next_lease;
+  GHashTable *items;   /* key -> struct item * */
+  GPtrArray *history;  /* struct item *, oldest first */
+  GHashTable *leases;  /* id -> int64_t * end of life */
+  GHashTable *periods; /* id -> int64_t * time to live */
+  enum kvs_fault fault;
+  bool stopping;
+  kvs_promote_fn *promote;
+  void *arg;
+};
+
+static void
+free_item (gpointer data)
+{
+  struct item *i = data;
+
+  g_free (i->key);
+  g_free (i->value);
+  g_free (i);
+}
+
+static struct item *
+copy_item (const struct item *i)
+{
+  struct item *copy = g_memdup2 (i, sizeof *i);
+
+  copy->key = g_strdup (i->key);
+  copy->value = g_strdup (i->value);
+  return copy;
+}
+
+/* Writes VALUE (base64) or, when NULL, removes.  With the lock held.  */
+static void
+change (struct kvs *s, const char *key, const char *value, uint64_t lease)
+{
+  struct item *old = g_hash_table_lookup (s->items, key);
+  struct item *new = g_new0 (struct item, 1);
+
+  if (!value && !old)
+    {
+      g_free (new);
+      return;
+    }
+  new->key = g_strdup (key);
+  new->value = g_strdup (value);
+  new->revision = ++s->revision;
+  new->created = old ? old->created : new->revision;
+  new->lease = lease;
+  g_ptr_array_add (s->history, copy_item (new));
+  if (value)
+    g_hash_table_replace (s->items, new->key, new);
+  else
+    {
+      g_hash_table_remove (s->items, key);
+      free_item (new);
+    }
+  g_cond_broadcast (&s->changed);
+}
+
+static void
+end_lease (struct kvs *s, uint64_t lease)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
+
+  g_hash_table_iter_init (&iter, s->items);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct item *)value)->lease == lease)
+      g_ptr_array_add (keys, g_strdup (((struct item *)value)->key));
+  for (guint i = 0; i < keys->len; i++)
+    change (s, g_ptr_array_index (keys, i), NULL, 0);
+  g_ptr_array_free (keys, TRUE);
+  g_hash_table_remove (s->leases, GUINT_TO_POINTER (lease));
+}
+
+static void
+expire (struct kvs *s)
+{
+  GHashTableIter iter;
+  gpointer id;
+  gpointer end;
+  uint64_t ended = 0;
+
+  g_hash_table_iter_init (&iter, s->leases);
+  while (g_hash_table_iter_next (&iter, &id, &end))
+    if (g_get_monotonic_time () > *(int64_t *)end)
+      ended = GPOINTER_TO_UINT (id);
+  if (ended > 0)
+    end_lease (s, ended);
+}
+
+static json_t *
+item_json (const struct item *i)
+{
+  if (!i->value)
+    return json_pack ("{s:s,s:I,s:b}", "key", i->key, "revision",
+                      (json_int_t)i->revision, "tombstone", 1);
+  return json_pack ("{s:s,s:s,s:I,s:I,s:I}", "key", i->key, "value", i->value,
+                    "revision", (json_int_t)i->revision, "createRev",
+                    (json_int_t)i->created, "leaseId", (json_int_t)i->lease);
+}
+
+static int
+reply (struct mg_connection *c, int status, json_t *body)
+{
+  char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
+
+  mg_printf (c,
+             "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+             "Content-Length: %zu\r\n\r\n%s",
+             status, text ? strlen (text) : 0, text ? text : "");
+  free (text);
+  json_decref (body);
+  return status;
+}
+
+static char *
+query_text (struct mg_connection *c, const char *name)
+{
+  const char *query = mg_get_request_info (c)->query_string;
+  char value[512] = "";
+
+  if (query)
+    mg_get_var (query, strlen (query), name, value, sizeof value);
+  return g_strdup (value);
+}
+
+static uint64_t
+query_number (struct mg_connection *c, const char *name)
+{
+  char *text = query_text (c, name);
+  uint64_t n = g_ascii_strtoull (text, NULL, 10);
+
+  g_free (text);
+  return n;
+}
+
+static json_t *
+read_body (struct mg_connection *c)
+{
+  GString *body = g_string_new (NULL);
+  char buffer[4096];
+  int n;
+  json_t *json;
+
+  while (body->len < BODY_MAX && (n = mg_read (c, buffer, sizeof buffer)) > 0)
+    g_string_append_len (body, buffer, n);
+  json = json_loadb (body->str, body->len, 0, NULL);
+  g_string_free (body, TRUE);
+  return json;
+}
+
+/* Calls, with the lock held.  Each returns a status and a body.  */
+
+static int
+get_key (struct kvs *s, struct mg_connection *c, json_t **out)
+{
+  char *key = query_text (c, "key");
+  struct item *i = g_hash_table_lookup (s->items, key);
+
+  g_free (key);
+  *out = i ? item_json (i) : json_object ();
+  json_object_set_new (*out, "atRev", json_integer ((json_int_t)s->revision));
+  return i ? 200 : 404;
+}
+
+static int
+get_range (struct kvs *s, struct mg_connection *c, json_t **out)
+{
+  char *prefix = query_text (c, "prefix");
+  json_t *items = json_array ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, s->items);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (g_str_has_prefix (((struct item *)value)->key, prefix))
+      json_array_append_new (items, item_json (value));
+  g_free (prefix);
+  *out = json_pack ("{s:o,s:b,s:I}", "items", items, "hasMore", 0, "atRev",
+                    (json_int_t)s->revision);
+  return 200;
+}
+
+static json_t *
+events_after (struct kvs *s, const char *prefix, uint64_t after)
+{
+  json_t *events = json_array ();
+
+  for (guint i = 0; i < s->history->len; i++)
+    {
+      struct item *e = g_ptr_array_index (s->history, i);
+
+      if (e->revision > after && g_str_has_prefix (e->key, prefix))
+        json_array_append_new (events, item_json (e));
+    }
+  return events;
+}
+
+static int
+watch (struct kvs *s, struct mg_connection *c, json_t **out)
+{
+  char *prefix = query_text (c, "prefix");
+  uint64_t after = query_number (c, "after");
+  int64_t end_us
+      = g_get_monotonic_time () + 1000 * (int64_t)query_number (c, "waitMs");
+  json_t *events = events_after (s, prefix, after);
+
+  while (json_array_size (events) == 0 && after >= s->lost_before
+         && g_get_monotonic_time () < end_us && !s->stopping)
+    {
+      json_decref (events);
+      g_cond_wait_until (&s->changed, &s->lock,
+                         g_get_monotonic_time () + POLL_MS * 1000);
+      expire (s);
+      events = events_after (s, prefix, after);
+    }
+  g_free (prefix);
+  if (after < s->lost_before)
+    {
+      json_decref (events);
+      *out = NULL;
+      return 410;
+    }
+  *out = json_pack ("{s:o,s:I}", "events", events, "atRev",
+                    (json_int_t)s->revision);
+  return 200;
+}
+
+static bool
+holds_expected (struct kvs *s, json_t *expected, json_t *items)
+{
+  bool holds = true;
+  size_t i;
+  json_t *e;
+
+  json_array_foreach (expected, i, e)
+    {
+      const char *key = json_string_value (json_object_get (e, "key"));
+      struct item *item = g_hash_table_lookup (s->items, key ? key : "");
+      uint64_t revision
+          = (uint64_t)json_integer_value (json_object_get (e, "revision"));
+
+      holds = holds && revision == (item ? item->revision : 0);
+      if (item)
+        json_array_append_new (items, item_json (item));
+    }
+  return holds;
+}
+
+static int
+transact (struct kvs *s, json_t *body, json_t **out)
+{
+  json_t *items = json_array ();
+  size_t i;
+  json_t *w;
+
+  if (!holds_expected (s, json_object_get (body, "expected"), items))
+    {
+      *out = json_pack ("{s:o}", "items", items);
+      return 412;
+    }
+  json_decref (items);
+  json_array_foreach (json_object_get (body, "writes"), i, w)
+    change (s, json_string_value (json_object_get (w, "key")),
+            json_string_value (json_object_get (w, "value")),
+            (uint64_t)json_integer_value (json_object_get (w, "leaseId")));
+  *out = json_pack ("{s:I}", "revision", (json_int_t)s->revision);
+  return 200;
+}
+
+static void
+extend (struct kvs *s, uint64_t lease, int64_t ttl_us)
+{
+  int64_t *end = g_new (int64_t, 1);
+
+  *end = g_get_monotonic_time () + ttl_us;
+  g_hash_table_replace (s->leases, GUINT_TO_POINTER (lease), end);
+}
+
+static int
+grant (struct kvs *s, json_t *body, json_t **out)
+{
+  int64_t ttl_ms = json_integer_value (json_object_get (body, "ttlMs"));
+  int64_t *period = g_new (int64_t, 1);
+
+  *period = ttl_ms * 1000;
+  s->next_lease++;
+  g_hash_table_replace (s->periods, GUINT_TO_POINTER (s->next_lease), period);
+  extend (s, s->next_lease, *period);
+  *out = json_pack ("{s:I,s:I}", "leaseId", (json_int_t)s->next_lease, "ttlMs",
+                    (json_int_t)ttl_ms);
+  return 200;
+}
+
+static int
+keep (struct kvs *s, const char *uri, json_t **out)
+{
+  uint64_t lease = g_ascii_strtoull (strrchr (uri, '/') + 1, NULL, 10);
+  int64_t *period = g_hash_table_lookup (s->periods, GUINT_TO_POINTER (lease));
+
+  *out = NULL;
+  if (!period || !g_hash_table_contains (s->leases, GUINT_TO_POINTER (lease)))
+    return 404;
+  extend (s, lease, *period);
+  *out = json_pack ("{s:I}", "ttlMs", (json_int_t)*period / 1000);
+  return 200;
+}
+
+static int
+route (struct kvs *s, struct mg_connection *c, json_t *body, json_t **out)
+{
+  const char *uri = mg_get_request_info (c)->local_uri;
+
+  if (strcmp (uri, "/kv-key") == 0)
+    return get_key (s, c, out);
+  if (strcmp (uri, "/kv-range") == 0)
+    return get_range (s, c, out);
+  if (strcmp (uri, "/kv-watch") == 0)
+    return watch (s, c, out);
+  if (strcmp (uri, "/kv-txn") == 0)
+    return transact (s, body, out);
+  if (strcmp (uri, "/kv-lease") == 0)
+    return grant (s, body, out);
+  if (g_str_has_prefix (uri, "/kv-keep/"))
+    return keep (s, uri, out);
+  if (g_str_has_prefix (uri, "/kv-lease-end/"))
+    end_lease (s, g_ascii_strtoull (strrchr (uri, '/') + 1, NULL, 10));
+  *out = NULL;
+  return 200;
+}
+
+static int
+on_promote (struct kvs *s, struct mg_connection *c, json_t *body)
+{
+  const char *token = mg_get_header (c, "X-Fencing-Token");
+  const char *service = json_string_value (json_object_get (body, "service"));
+  const char *id = json_string_value (json_object_get (body, "id"));
+
+  if (!token || !service || !id)
+    return 400;
+  return s->promote (s->arg, service, id, g_ascii_strtoull (token, NULL, 10));
+}
+
+static int
+on_call (struct mg_connection *c, void *arg)
+{
+  struct kvs *s = arg;
+  const char *method = mg_get_request_info (c)->request_method;
+  bool writes = strcmp (method, "GET") != 0;
+  json_t *body = writes ? read_body (c) : NULL;
+  json_t *out = NULL;
+  enum kvs_fault fault;
+  int status;
+
+  g_mutex_lock (&s->lock);
+  fault = s->fault;
+  g_mutex_unlock (&s->lock);
+  if (fault == KVS_SLOW)
+    g_usleep (SLOW_MS * 1000);
+  if (fault == KVS_SILENT)
+    g_usleep (SILENT_MS * 1000);
+  if (fault == KVS_BUSY || fault == KVS_SILENT)
+    {
+      json_decref (body);
+      return reply (c, 503, NULL);
+    }
+  if (strcmp (mg_get_request_info (c)->local_uri, "/promote") == 0)
+    status = on_promote (s, c, body);
+  else
+    {
+      g_mutex_lock (&s->lock);
+      expire (s);
+      status = route (s, c, body, &out);
+      g_mutex_unlock (&s->lock);
+    }
+  json_decref (body);
+  if (fault != KVS_LOST || !writes)
+    return reply (c, status, out);
+  /* Done, and never answered on this connection.  */
+  json_decref (out);
+  return 200;
+}
+
+struct kvs *
+kvs_new (const char *listen, kvs_promote_fn *promote, void *arg)
+{
+  struct kvs *s = g_new0 (struct kvs, 1);
+  const char *settings[] = {
+    "listening_ports",   listen, "num_threads", THREADS, "tcp_nodelay", "1",
+    "enable_keep_alive", "yes",  NULL
+  };
+  struct mg_callbacks callbacks;
+
+  memset (&callbacks, 0, sizeof callbacks);
+  g_mutex_init (&s->lock);
+  g_cond_init (&s->changed);
+  s->revision = 10;
+  s->items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
+  s->history = g_ptr_array_new_with_free_func (free_item);
+  s->leases = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  s->periods = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  s->promote = promote;
+  s->arg = arg;
+  s->context = mg_start (&callbacks, s, settings);
+  if (!s->context)
+    {
+      kvs_free (s);
+      return NULL;
+    }
+  mg_set_request_handler (s->context, "/", on_call, s);
+  return s;
+}
+
+void
+kvs_free (struct kvs *s)
+{
+  g_mutex_lock (&s->lock);
+  s->stopping = true;
+  g_cond_broadcast (&s->changed);
+  g_mutex_unlock (&s->lock);
+  if (s->context)
+    mg_stop (s->context);
+  g_hash_table_destroy (s->items);
+  g_ptr_array_free (s->history, TRUE);
+  g_hash_table_destroy (s->leases);
+  g_hash_table_destroy (s->periods);
+  g_mutex_clear (&s->lock);
+  g_cond_clear (&s->changed);
+  g_free (s);
+}
+
+void
+kvs_set_fault (struct kvs *s, enum kvs_fault fault)
+{
+  g_mutex_lock (&s->lock);
+  s->fault = fault;
+  g_mutex_unlock (&s->lock);
+}
+
+void
+kvs_compact (struct kvs *s)
+{
+  g_mutex_lock (&s->lock);
+  s->lost_before = s->revision;
+  g_ptr_array_set_size (s->history, 0);
+  g_cond_broadcast (&s->changed);
+  g_mutex_unlock (&s->lock);
+}
+
+void
+kvs_put (struct kvs *s, const char *key, const char *value)
+{
+  char *encoded
+      = value ? g_base64_encode ((const guchar *)value, strlen (value)) : NULL;
+
+  g_mutex_lock (&s->lock);
+  change (s, key, encoded, 0);
+  g_mutex_unlock (&s->lock);
+  g_free (encoded);
+}
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,553 @@
+/* Fault soak: the real proxy as separate processes on loopback, the platform's
+   stand-ins in this one, faults from outside, and the promises checked from
+   what callers and instances see.  One seed a run.  */
+#include "soak.h"
+
+#include <errno.h>
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define STEP_MAX_US 5000
+/* Everything is mended this long before the end, and everyone must be served
+   by then.  */
+#define HEAL_US 9000000
+/* A process that was told to stop is gone within its grace period.  */
+#define GRACE_US 7000000
+#define BEAT_US 1000000
+/* The directory forgets an instance that says nothing for so long.  */
+#define LAPSE_US 3600000
+
+static struct soak soak;
+
+bool
+soak_sender (void *arg, const char *id, struct dbm_sender *out)
+{
+  const struct dbm_sender *s = g_hash_table_lookup (soak.senders, id);
+
+  (void)arg;
+  if (s)
+    *out = *s;
+  return s != NULL;
+}
+
+void
+soak_fail (const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  if (soak.failures++ < 5)
+    {
+      fputs ("soak: FAILED: ", stderr);
+      vfprintf (stderr, format, args);
+      fputc ('\n', stderr);
+    }
+  va_end (args);
+}
+
+static uint32_t
+roll (uint32_t n)
+{
+  return (uint32_t)g_rand_int_range (soak.random, 0, (gint32)n);
+}
+
+/* Stand-ins.  */
+
+static int
+on_promote (void *arg, const char *service, const char *instance,
+            uint64_t token)
+{
+  int status = 409;
+
+  (void)arg;
+  g_mutex_lock (&soak.lock);
+  for (uint32_t k = 0; k < SOAK_GROUPS; k++)
+    if (strcmp (soak.groups[k].name, service) == 0)
+      {
+        struct dbm_instance *i = dbm_find (soak.groups[k].db, instance);
+
+        if (i && !lsv_faults (soak.groups[k].servers[i->index])->dark
+            && dbm_promote (soak.groups[k].db, instance, token,
+                            loop_now_us ()))
+          status = 200;
+      }
+  g_mutex_unlock (&soak.lock);
+  return status;
+}
+
+static void
+list_instance (struct group *g, uint32_t k)
+{
+  struct dbm_instance *i = &g->db->instances[k];
+  char *key = g_strconcat ("servers/", i->id, NULL);
+  char *value = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z%u\","
+      "\"slots\":4,\"state\":\"%s\",\"dbRole\":\"%s\",\"seq\":1,\"born\":1}",
+      g->name, g->ports[k], k, i->draining ? "draining" : "ready",
+      i->primary ? "primary" : "replica");
+
+  if (g_strcmp0 (g->listed[k], value) != 0)
+    kvs_put (soak.store, key, value);
+  g_free (g->listed[k]);
+  g->listed[k] = value;
+  g_free (key);
+}
+
+/* The instances' entries: changed ones are written, silent ones lapse.  */
+static void
+beat (int64_t now_us)
+{
+  if (now_us < soak.beat_us)
+    return;
+  soak.beat_us = now_us + BEAT_US;
+  for (uint32_t n = 0; n < SOAK_GROUPS; n++)
+    for (uint32_t k = 0; k < SOAK_INSTANCES; k++)
+      {
+        struct group *g = &soak.groups[n];
+        char *key = g_strconcat ("servers/", g->db->instances[k].id, NULL);
+
+        if (!lsv_faults (g->servers[k])->dark)
+          {
+            g->seen_us[k] = now_us;
+            list_instance (g, k);
+          }
+        else if (now_us - g->seen_us[k] > LAPSE_US && g->listed[k])
+          {
+            kvs_put (soak.store, key, NULL);
+            g_clear_pointer (&g->listed[k], g_free);
+          }
+        g_free (key);
+      }
+}
+
+static void
+put_config (void)
+{
+  GString *text = g_string_new (NULL);
+  static const char *const types[]
+      = { "primary", "bounded_stale", "read_your_writes" };
+
+  soak.version += 1 + roll (3);
+  g_string_printf (text, "{\"version\":%u,\"services\":[", soak.version);
+  for (uint32_t n = 0; n < SOAK_GROUPS; n++)
+    g_string_append_printf (
+        text, "%s{\"name\":\"%s\",\"maxConns\":16,\"syncReplicas\":0}",
+        n ? "," : "", soak.groups[n].name);
+  g_string_append (text, "],\"routes\":[");
+  for (uint32_t n = 0; n < SOAK_GROUPS * 3; n++)
+    g_string_append_printf (
+        text,
+        "%s{\"name\":\"r%u\",\"host\":\"db%u\",\"type\":\"%s\","
+        "\"timeoutMs\":%u,\"latencySloMs\":500,\"priority\":%u,"
+        "\"service\":\"%s\",\"maxStalenessMs\":%d}",
+        n ? "," : "", n, n, types[n % 3], 800 + roll (200), n % 3,
+        soak.groups[n / 3].name, n % 3 == 1 ? 1500 : 2500);
+  g_string_append (text, "],\"limits\":{\"txIdleMs\":3000}}");
+  kvs_put (soak.store, "op/config", text->str);
+  g_string_free (text, TRUE);
+}
+
+/* Processes.  */
+
+static void
+write_settings (struct vm *v)
+{
+  char *text = g_strdup_printf (
+      "node: \"%s\"\nzone: \"z%u\"\nip: \"%s\"\n"
+      "zones:\n  z0: \"r0\"\n  z1: \"r0\"\n  z2: \"r1\"\n"
+      "listen:\n  frontend: \"%s:%u\"\n  readiness: \"%s:%u\"\n"
+      "internalPorts:\n  - %u\n  - %u\nlimits:\n  maxFds: 2000\n"
+      "bounds:\n  drainMs: 7000\n  graceS: 6\n  configApplyMs: 3000\n"
+      "platform:\n  address: \"127.0.0.1:%u\"\n"
+      "cloudApi:\n  address: \"127.0.0.1:%u\"\n",
+      v->name, v->index % 3, v->ip, v->ip, soak.base, v->ip, soak.base + 1,
+      soak.base + 2, soak.base + 9, v->store_port, v->store_port);
+
+  g_file_set_contents (v->settings, text, -1, NULL);
+  g_free (text);
+}
+
+static void
+start_vm (struct vm *v)
+{
+  pid_t pid = fork ();
+
+  if (pid == 0)
+    {
+      FILE *log = freopen (v->log, "a", stdout);
+
+      if (!log || dup2 (STDOUT_FILENO, STDERR_FILENO) < 0)
+        _exit (126);
+      setenv ("CASSIABAY_SETTINGS", v->settings, 1);
+      execl (soak.program, soak.program, "--platform", (char *)NULL);
+      _exit (127);
+    }
+  v->pid = pid;
+  v->state = VM_RUNS;
+}
+
+static void
+end_vm (struct vm *v, int signal)
+{
+  if (v->state == VM_DOWN || v->pid <= 0)
+    return;
+  kill (v->pid, signal);
+  if (signal == SIGTERM || signal == SIGKILL)
+    {
+      v->state = VM_ENDS;
+      v->ends_us = loop_now_us () + GRACE_US;
+    }
+}
+
+static void
+look_after_vm (struct vm *v, int64_t now_us)
+{
+  int status = 0;
+
+  if (v->state == VM_DOWN && now_us >= v->starts_us)
+    start_vm (v);
+  else if (v->state == VM_DOWN)
+    return;
+  if (v->resumes_us > 0 && now_us >= v->resumes_us)
+    {
+      v->resumes_us = 0;
+      kill (v->pid, SIGCONT);
+    }
+  if (waitpid (v->pid, &status, WNOHANG) == v->pid)
+    {
+      if (v->state == VM_RUNS
+          || (WIFSIGNALED (status) && WTERMSIG (status) != SIGKILL
+              && WTERMSIG (status) != SIGTERM))
+        soak_fail ("%s ended by itself, status %d", v->name, status);
+      v->state = VM_DOWN;
+      v->starts_us = now_us + 200000;
+    }
+  else if (v->state == VM_ENDS && v->resumes_us == 0 && now_us > v->ends_us)
+    {
+      soak_fail ("%s didn't end within its grace period", v->name);
+      kill (v->pid, SIGKILL);
+      v->ends_us = now_us + GRACE_US;
+    }
+}
+
+/* Faults, several at a time.  */
+
+static void
+fault_vm (struct vm *v, int64_t now_us)
+{
+  static const int signals[] = { SIGKILL, SIGTERM, SIGHUP, SIGSTOP };
+  int signal = signals[roll (4)];
+
+  if (v->state != VM_RUNS || v->resumes_us > 0)
+    return;
+  if (signal == SIGSTOP)
+    v->resumes_us = now_us + 100000 + roll (3000000);
+  end_vm (v, signal);
+}
+
+static void
+fault_instance (struct group *g, int64_t now_us)
+{
+  uint32_t k = roll (SOAK_INSTANCES);
+  struct lsv_faults *f = lsv_faults (g->servers[k]);
+
+  (void)now_us;
+  switch (roll (7))
+    {
+    case 0:
+      f->dark = true;
+      break;
+    case 1:
+      f->lose_answer = 30;
+      break;
+    case 2:
+      f->break_answer = 30;
+      break;
+    case 3:
+      f->busy = 200;
+      break;
+    case 4:
+      g->db->instances[k].lag_us = roll (3000000);
+      break;
+    case 5:
+      lsv_crash (g->servers[k]);
+      break;
+    default:
+      g->db->instances[k].draining = true;
+    }
+}
+
+static void
+fault_link (void)
+{
+  struct fpx *x = soak.links->len > 0
+                      ? g_ptr_array_index (soak.links, roll (soak.links->len))
+                      : NULL;
+
+  if (roll (3) == 0)
+    fpx_reset (x);
+  else
+    fpx_set (x, (enum fpx_mode)roll (FPX_MODES));
+}
+
+static void
+mend (void)
+{
+  for (uint32_t n = 0; n < SOAK_GROUPS; n++)
+    for (uint32_t k = 0; k < SOAK_INSTANCES; k++)
+      {
+        memset (lsv_faults (soak.groups[n].servers[k]), 0,
+                sizeof (struct lsv_faults));
+        soak.groups[n].db->instances[k].lag_us = 20000;
+        soak.groups[n].db->instances[k].draining = false;
+      }
+  for (guint i = 0; i < soak.links->len; i++)
+    fpx_set (g_ptr_array_index (soak.links, i), FPX_PASS);
+  kvs_set_fault (soak.store, KVS_UP);
+}
+
+static void
+inject (int64_t now_us)
+{
+  if (now_us < soak.fault_us || now_us > soak.heal_us)
+    return;
+  soak.fault_us = now_us + 100000 + roll (900000);
+  switch (roll (9))
+    {
+    case 0:
+    case 1:
+      fault_vm (&soak.vms[roll (soak.n_vms)], now_us);
+      break;
+    case 2:
+    case 3:
+      fault_instance (&soak.groups[roll (SOAK_GROUPS)], now_us);
+      break;
+    case 4:
+      fault_link ();
+      break;
+    case 5:
+      kvs_set_fault (soak.store, (enum kvs_fault)roll (KVS_FAULTS));
+      break;
+    case 6:
+      kvs_compact (soak.store);
+      break;
+    case 7:
+      put_config ();
+      break;
+    default:
+      mend ();
+    }
+}
+
+/* Set-up and the run.  */
+
+static void
+make_group (uint32_t n)
+{
+  struct group *g = &soak.groups[n];
+  char prefix[16];
+
+  g_snprintf (g->name, sizeof g->name, "svc%u", n);
+  g_snprintf (prefix, sizeof prefix, "i%u", n);
+  g->db = dbm_new (prefix, SOAK_INSTANCES, soak_sender, NULL);
+  for (uint32_t k = 0; k < SOAK_INSTANCES; k++)
+    {
+      uint16_t real = (uint16_t)(soak.base + 20 + n * 16 + k * 2);
+      char *listen = g_strdup_printf ("127.0.0.1:%u", real);
+      char *front = g_strdup_printf ("127.0.0.1:%u", real + 1);
+      struct lsv_options o = { 0 };
+      GError *error = NULL;
+      struct fpx *x;
+
+      o.loop = &soak.loop;
+      o.streams = &soak.streams;
+      o.codec = lin_codec ();
+      o.instance = &g->db->instances[k];
+      o.service = g->name;
+      o.listen = listen;
+      o.work_us = 3000;
+      g->servers[k] = lsv_new (&o, &error);
+      x = fpx_new (&soak.loop, &soak.streams, front, "127.0.0.1", real,
+                   &error);
+      if (!g->servers[k] || !x)
+        g_error ("%s", error->message);
+      g->ports[k] = (uint16_t)(real + 1);
+      g->db->instances[k].lag_us = 20000;
+      g_ptr_array_add (soak.links, x);
+      g_free (listen);
+      g_free (front);
+    }
+}
+
+static void
+make_vm (uint32_t n, const char *dir)
+{
+  struct vm *v = &soak.vms[n];
+  char *listen;
+  struct fpx *x;
+  GError *error = NULL;
+
+  v->index = n;
+  g_snprintf (v->name, sizeof v->name, "vm-%u", n);
+  /* Soaks side by side differ in their first port, and so in this.  */
+  g_snprintf (v->ip, sizeof v->ip, "127.%u.0.%u", soak.base / 200, 10 + n);
+  v->settings = g_strdup_printf ("%s/%s.yaml", dir, v->name);
+  v->log = g_strdup_printf ("%s/%s.log", dir, v->name);
+  v->store_port = (uint16_t)(soak.base + 100 + n);
+  listen = g_strdup_printf ("127.0.0.1:%u", v->store_port);
+  x = fpx_new (&soak.loop, &soak.streams, listen, "127.0.0.1",
+               (uint16_t)(soak.base + 19), &error);
+  if (!x)
+    g_error ("%s", error->message);
+  g_ptr_array_add (soak.links, x);
+  g_free (listen);
+  remove (v->log);
+  write_settings (v);
+  start_vm (v);
+}
+
+static void
+turn (int64_t now_us)
+{
+  inject (now_us);
+  beat (now_us);
+  for (uint32_t n = 0; n < soak.n_vms; n++)
+    look_after_vm (&soak.vms[n], now_us);
+  for (uint32_t n = 0; n < SOAK_GROUPS; n++)
+    for (uint32_t k = 0; k < SOAK_INSTANCES; k++)
+      lsv_turn (soak.groups[n].servers[k], now_us);
+  for (guint i = 0; i < soak.links->len; i++)
+    fpx_turn (g_ptr_array_index (soak.links, i), now_us);
+  callers_turn (&soak, now_us);
+  stream_set_flush (&soak.streams);
+}
+
+static void
+run_for (int64_t run_us)
+{
+  int64_t start_us = loop_now_us ();
+  int64_t now_us = start_us;
+  bool mended = false;
+
+  soak.fault_us = start_us + 3000000;
+  soak.heal_us = start_us + run_us - HEAL_US;
+  while (now_us < start_us + run_us)
+    {
+      loop_run (&soak.loop, STEP_MAX_US);
+      now_us = loop_now_us ();
+      g_mutex_lock (&soak.lock);
+      if (now_us > soak.heal_us && !mended)
+        {
+          mended = true;
+          mend ();
+        }
+      turn (now_us);
+      g_mutex_unlock (&soak.lock);
+    }
+}
+
+static void
+judge (void)
+{
+  for (uint32_t n = 0; n < SOAK_GROUPS; n++)
+    if (soak.groups[n].db->breaches > 0)
+      soak_fail ("%s: %u breaches, first: %s", soak.groups[n].name,
+                 soak.groups[n].db->breaches, soak.groups[n].db->first_breach);
+  callers_judge (&soak);
+}
+
+static void
+stop_vms (void)
+{
+  for (uint32_t n = 0; n < soak.n_vms; n++)
+    if (soak.vms[n].pid > 0 && soak.vms[n].state != VM_DOWN)
+      {
+        kill (soak.vms[n].pid, SIGCONT);
+        kill (soak.vms[n].pid, SIGKILL);
+        waitpid (soak.vms[n].pid, NULL, 0);
+      }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct option options[]
+      = { { "seed", required_argument, NULL, 's' },
+          { "seconds", required_argument, NULL, 't' },
+          { "proxies", required_argument, NULL, 'p' },
+          { "program", required_argument, NULL, 'x' },
+          { "base", required_argument, NULL, 'b' },
+          { "dir", required_argument, NULL, 'd' },
+          { NULL, 0, NULL, 0 } };
+  uint32_t seed = 1;
+  int64_t seconds = 25;
+  const char *dir = "out/soak";
+  char *store;
+  int option;
+
+  soak.n_vms = 4;
+  soak.base = 26000;
+  while ((option = getopt_long (argc, argv, "s:t:p:x:b:d:", options, NULL))
+         != -1)
+    switch (option)
+      {
+      case 's':
+        seed = (uint32_t)g_ascii_strtoull (optarg, NULL, 10);
+        break;
+      case 't':
+        seconds = g_ascii_strtoll (optarg, NULL, 10);
+        break;
+      case 'p':
+        soak.n_vms = (uint32_t)CLAMP (g_ascii_strtoll (optarg, NULL, 10), 1,
+                                      SOAK_VMS_MAX);
+        break;
+      case 'x':
+        soak.program = optarg;
+        break;
+      case 'b':
+        soak.base = (uint16_t)g_ascii_strtoull (optarg, NULL, 10);
+        break;
+      case 'd':
+        dir = optarg;
+        break;
+      default:
+        return 2;
+      }
+  if (!soak.program || g_mkdir_with_parents (dir, 0755) != 0)
+    return 2;
+  signal (SIGPIPE, SIG_IGN);
+  soak.random = g_rand_new_with_seed (seed);
+  g_random_set_seed (seed);
+  g_mutex_init (&soak.lock);
+  soak.links = g_ptr_array_new ();
+  soak.senders
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  if (!loop_init (&soak.loop))
+    return 1;
+  stream_set_init (&soak.streams, &soak.loop);
+  store = g_strdup_printf ("127.0.0.1:%u", soak.base + 19);
+  soak.store = kvs_new (store, on_promote, NULL);
+  if (!soak.store)
+    g_error ("cannot listen on %s", store);
+  for (uint32_t n = 0; n < SOAK_GROUPS; n++)
+    make_group (n);
+  put_config ();
+  beat (loop_now_us ());
+  for (uint32_t n = 0; n < soak.n_vms; n++)
+    make_vm (n, dir);
+  callers_start (&soak);
+  run_for (seconds * 1000000);
+  judge ();
+  stop_vms ();
+  printf ("soak seed %u: %s; statements %u, ok %u, promises %u, unknown %u, "
+          "closed %u, promotions %u\n",
+          seed, soak.failures ? "FAILED" : "ok", soak.asked, soak.oks,
+          soak.promises, soak.unknowns, soak.closes,
+          soak.groups[0].db->promotions + soak.groups[1].db->promotions);
+  return soak.failures ? 1 : 0;
+}
