Votes are waited for; a primary that peers reach is reached through them

They are waited for 300 ms, less when all answered. A proxy cut off from a primary then goes through one that voted for it, over the relay path.

--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -76,6 +76,9 @@
 /* Connections.  */
 
 void plr_on_starved (struct plr *p, plr_yield_fn *ask, void *arg);
+/* VM reaches INSTANCE: while this proxy doesn't, it goes through VM.  */
+void plr_detour (struct plr *p, const char *service, const char *instance,
+                 const char *vm, int64_t now_us);
 /* Another proxy has no connection to INSTANCE: gives one back as soon as it
    rests, if this proxy has more than its share.  */
 void plr_yield (struct plr *p, const char *service, const char *instance,
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -85,13 +85,26 @@
       EV_TEXT ("instance", link->instance->entry->id));
 }
 
+/* The proxy that helps to reach I, when this one lost the way.  */
+static const struct rly_vm *
+helper_for (const struct plr *p, const struct svc_instance *i, int64_t now_us)
+{
+  const struct rly_vm *vm
+      = now_us < i->detour_until_us ? rly_get (&p->vms, i->helper) : NULL;
+
+  return vm && !is_bad_home (p, vm, now_us) ? vm : NULL;
+}
+
 /* The home to go through: each proxy has its own order of them.  */
 static const struct rly_vm *
 home_for (const struct plr *p, const struct svc_instance *i, int64_t now_us)
 {
   const struct rly_homes *h = &i->homes;
+  const struct rly_vm *helper = helper_for (p, i, now_us);
   uint64_t first;
 
+  if (helper)
+    return helper;
   if (h->direct || h->own || h->n == 0)
     return NULL;
   first = rdv_weight (i->entry->id, p->o.vm);
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -25,6 +25,9 @@
 /* How often, and from which wait on, waiting is logged.  */
 #define PRESSURE_EVERY_US 1000000
 #define PRESSURE_WAIT_US 100000
+/* How long another proxy is gone through before the direct way is tried
+   again.  */
+#define DETOUR_US 4000000
 /* An answer that takes so many times the usual is lost; beyond the longest
    statements, whose time has a tail of several times the mean.  */
 #define LOST_FACTOR 10
@@ -233,6 +236,25 @@
   p->starved_arg = arg;
 }
 
+void
+plr_detour (struct plr *p, const char *service, const char *instance,
+            const char *vm, int64_t now_us)
+{
+  struct svc *s = g_hash_table_lookup (p->services, service);
+  struct svc_instance *i = s ? svc_find (s, instance) : NULL;
+
+  if (!i || !(i->dark || i->refused_us > 0) || now_us < i->detour_until_us)
+    return;
+  EV (p->o.log, now_us, EV_INSTANCE, EV_TEXT ("service", service),
+      EV_TEXT ("instance", instance), EV_TEXT ("what", "detour"),
+      EV_TEXT ("through", vm));
+  g_free (i->helper);
+  i->helper = g_strdup (vm);
+  i->detour_until_us = now_us + DETOUR_US;
+  i->open_after_us = now_us;
+  i->refused_us = 0;
+}
+
 void
 plr_yield (struct plr *p, const char *service, const char *instance,
            int64_t now_us)
--- a/packages/core/relay.c
+++ b/packages/core/relay.c
@@ -69,6 +69,19 @@
   t->generation++;
 }
 
+const struct rly_vm *
+rly_get (const struct rly_table *t, const char *name)
+{
+  for (guint i = 0; name && i < t->vms->len; i++)
+    {
+      const struct rly_vm *vm = g_ptr_array_index (t->vms, i);
+
+      if (strcmp (vm->name, name) == 0)
+        return vm;
+    }
+  return NULL;
+}
+
 /* Weighted rendezvous score, raised for nearness.  */
 static double
 score_of (const struct rly_table *t, const struct rly_vm *vm,
--- a/packages/core/relay.h
+++ b/packages/core/relay.h
@@ -46,6 +46,8 @@
 void rly_set (struct rly_table *t, const char *name, const char *address,
               const char *data_centre, double capacity);
 void rly_remove (struct rly_table *t, const char *name);
+/* The proxy of that name, NULL when unknown or NAME is.  */
+const struct rly_vm *rly_get (const struct rly_table *t, const char *name);
 /* The homes of INSTANCE, by weighted rendezvous hashing: near ones first, the
    strong more often; a proxy that comes or goes moves only its own.  */
 void rly_find_homes (const struct rly_table *t,
--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -12,8 +12,9 @@
 #define LEADERLESS_US 1200000
 /* Without any trace of a primary, after start.  */
 #define UNKNOWN_US 2500000
-/* Peers' votes are counted after: two round trips of the longest link.  */
-#define VOTE_US 120000
+/* Peers' votes are waited for: a new link between two proxies takes four
+   round trips of the longest, the question one more.  */
+#define VOTE_US 300000
 /* Status answers are waited for: the same, and a slot.  */
 #define SURVEY_US 100000
 #define SURVEY_EVERY_US 40000
@@ -71,6 +72,8 @@
   uint32_t tries;
   uint32_t reached;
   uint32_t missed;
+  uint32_t voted; /* answers, of any kind */
+  uint32_t asked; /* peers */
   const char *cause;
   bool planned;
 };
@@ -363,6 +366,8 @@
     }
   seat->reached = 0;
   seat->missed = 1;
+  seat->voted = 0;
+  seat->asked = g_hash_table_size (vms) > 0 ? g_hash_table_size (vms) - 1 : 0;
   seat->cause = cause_of (e);
   enter (seat, ASKING, now_us);
   seat->suc->o.port->ops->ask (seat->suc->o.port, seat->svc->name,
@@ -372,7 +377,7 @@
 static void
 on_asking (struct seat *seat, const struct suc_evidence *e, int64_t now_us)
 {
-  if (now_us - seat->since_us < VOTE_US)
+  if (now_us - seat->since_us < VOTE_US && seat->voted < seat->asked)
     return;
   if (suc_judge (e) == SUC_KEEP)
     calm_down (seat, 0, now_us);
@@ -610,13 +615,15 @@
 
 void
 suc_voted (struct suc *s, const char *service, const char *instance,
-           enum suc_vote vote, int64_t now_us)
+           const char *vm, enum suc_vote vote, int64_t now_us)
 {
   struct seat *seat = seat_of (s, service);
 
-  (void)now_us;
+  if (vote == SUC_VOTE_REACHED)
+    plr_detour (s->o.pooler, service, instance, vm, now_us);
   if (seat->state != ASKING || g_strcmp0 (seat->primary, instance) != 0)
     return;
+  seat->voted++;
   seat->reached += vote == SUC_VOTE_REACHED ? 1 : 0;
   seat->missed += vote == SUC_VOTE_MISSED ? 1 : 0;
 }
--- a/packages/core/succeed.h
+++ b/packages/core/succeed.h
@@ -93,8 +93,10 @@
                   bool settled, int64_t now_us);
 void suc_promoted (struct suc *s, const char *service, enum suc_promoted end,
                    int64_t now_us);
+/* VM answered an ask.  One that reaches the instance is gone through until
+   this proxy reaches it again.  */
 void suc_voted (struct suc *s, const char *service, const char *instance,
-                enum suc_vote vote, int64_t now_us);
+                const char *vm, enum suc_vote vote, int64_t now_us);
 /* The vote of this proxy, for a peer that asks.  */
 enum suc_vote suc_vote_on (struct suc *s, const char *service,
                            const char *instance, int64_t now_us);
--- a/packages/core/svc.c
+++ b/packages/core/svc.c
@@ -28,6 +28,7 @@
 {
   g_ptr_array_free (i->links, TRUE);
   dir_instance_free (i->entry);
+  g_free (i->helper);
   g_free (i);
 }
 
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -33,6 +33,8 @@
   int64_t missing_since_us;   /* the directory lost it then, 0 = listed */
   int64_t draining_since_us;  /* it was first listed as draining, 0 = not */
   struct rly_homes homes;     /* who holds connections to it */
+  char *helper;               /* proxy that reaches it, NULL = none known */
+  int64_t detour_until_us;    /* goes through the helper until then */
   struct svc_limits limits;   /* of this proxy, by the homes */
   GPtrArray *links;           /* struct ul *, owned by the pooler */
   uint32_t n_opening;
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -430,6 +430,34 @@
     }
 }
 
+TEST (Succession, APrimaryThatOthersReachIsReachedThroughThem)
+{
+  PoolWorld w (24);
+  Caller *x = w.Open ("fresh");
+  plr_set_vm (w.pooler, "vm-1", "10.0.1.1:1", "a", 0.25);
+  plr_set_vm (w.pooler, "vm-2", "10.0.1.2:1", "a", 0.25);
+  EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 1"), "ok");
+  Caller *warm = w.Open ("bounded");
+  for (int n = 0; n < 20; n++)
+    w.Ask (warm, STM_READ, nullptr, "a");
+  w.dark["i-0"] = true;
+  w.homes_reach = true;
+  w.votes_missed = 0;
+  w.votes_reached = 4;
+  for (int n = 0; n < 20; n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  EXPECT_EQ (w.promoted.size (), 0u);
+  EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 2"), "ok");
+  // The direct way heals: it is taken again.
+  w.dark.clear ();
+  w.Run (6000000);
+  EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 3"), "ok");
+  ExpectNoBreach (w);
+}
+
 TEST (Succession, TheFurthestReplicaIsChosen)
 {
   PoolWorld w (21, 5);
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -84,7 +84,7 @@
 {
   if (!u->open)
     return;
-  if (w->dark[u->instance->id])
+  if (w->IsDark (u))
     return;
   if (w->refused[u->instance->id])
     {
@@ -111,8 +111,8 @@
   auto u = std::make_unique<UpConn> ();
   UpConn *raw = u.get ();
 
-  (void)home;
   u->world = w;
+  u->via_home = home != nullptr;
   u->link = link;
   u->instance = dbm_find (w->group, instance->id);
   w->ups.push_back (std::move (u));
@@ -123,7 +123,7 @@
 void
 Answered (PoolWorld *w, UpConn *u, struct stm_end end, std::string signature)
 {
-  if (!u->open || w->dark[u->instance->id])
+  if (!u->open || w->IsDark (u))
     return;
   if (end.signature)
     end.signature = signature.c_str ();
@@ -153,7 +153,7 @@
   bool work = s.kind == STM_READ || s.kind == STM_WRITE
               || s.kind == STM_EXECUTE || s.kind == STM_COMMIT;
 
-  if (!u->conn || w->dark[u->instance->id])
+  if (!u->conn || w->IsDark (u))
     return;
   s.id = sent->statement.id ? sent->id.c_str () : nullptr;
   s.name = sent->statement.name ? sent->name.c_str () : nullptr;
@@ -259,10 +259,10 @@
 
   w->At (20000, [w, name, id] {
     for (uint32_t n = 0; n < w->votes_reached; n++)
-      suc_voted (w->suc, name.c_str (), id.c_str (), SUC_VOTE_REACHED,
+      suc_voted (w->suc, name.c_str (), id.c_str (), "vm-2", SUC_VOTE_REACHED,
                  w->now_us);
     for (uint32_t n = 0; n < w->votes_missed; n++)
-      suc_voted (w->suc, name.c_str (), id.c_str (), SUC_VOTE_MISSED,
+      suc_voted (w->suc, name.c_str (), id.c_str (), "vm-3", SUC_VOTE_MISSED,
                  w->now_us);
   });
 }
@@ -362,6 +362,12 @@
   g_free (counters);
 }
 
+bool
+PoolWorld::IsDark (const UpConn *u)
+{
+  return dark[u->instance->id] && !(u->via_home && homes_reach);
+}
+
 void
 PoolWorld::At (int64_t delay_us, std::function<void ()> fn)
 {
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -28,6 +28,7 @@
   uint32_t pending = 0;
   bool open = true; // at the proxy's end
   bool silent = false;
+  bool via_home = false; // through another proxy
   int64_t last_us = 0; // answers leave in order
 };
 
@@ -104,6 +105,7 @@
   uint64_t serial = 0;
   uint64_t revision = 10;
   bool store_up = true;
+  bool homes_reach = false; // other proxies reach what is dark for this one
   uint32_t votes_reached = 0;
   uint32_t votes_missed = 3;
   uint32_t claims = 0;
@@ -136,6 +138,7 @@
   // Sends one and runs until it is answered, at the longest LIMIT.
   std::string Ask (Caller *c, enum stm_kind kind, const char *name = nullptr,
                    const char *args = nullptr, int64_t limit_us = 10000000);
+  bool IsDark (const UpConn *u);
   bool Chance (double p);
   uint64_t
   Counter (enum ctr c)
