No promotion on the smaller side of a partition between proxies

A promotion for a dark primary needs answers of more than half of the proxies that the directory lists; once the directory has dropped the primary none is asked.

--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -70,10 +70,7 @@
   bool claim_is_own;
   uint64_t token;
   uint32_t tries;
-  uint32_t reached;
-  uint32_t missed;
-  uint32_t voted; /* answers, of any kind */
-  uint32_t asked; /* peers */
+  struct suc_votes votes;
   const char *cause;
   bool planned;
 };
@@ -151,7 +148,10 @@
   EV (seat->suc->o.log, now_us, EV_JUDGEMENT,
       EV_TEXT ("service", seat->svc->name), EV_TEXT ("primary", seat->primary),
       EV_TEXT ("what", what), EV_TEXT ("cause", seat->cause),
-      EV_INT ("reached", seat->reached), EV_INT ("missed", seat->missed),
+      EV_INT ("reached", seat->votes.reached),
+      EV_INT ("missed", seat->votes.missed),
+      EV_INT ("voted", seat->votes.voted),
+      EV_INT ("proxies", seat->votes.proxies),
       EV_INT ("claim", (int64_t)seat->claim));
 }
 
@@ -223,6 +223,7 @@
     return e;
   e.proved = svc->leader == primary;
   e.listed = primary->missing_since_us == 0 || svc_is_lapsed (primary, now_us);
+  e.lapsed = primary->missing_since_us > 0;
   e.draining = primary->entry->draining;
   e.dark = primary->dark;
   e.refused_us = primary->refused_us > 0 ? now_us - primary->refused_us : 0;
@@ -238,7 +239,8 @@
     return SUC_KEEP;
   if (!e->known)
     return e->leaderless_us > UNKNOWN_US ? SUC_REPLACE : SUC_KEEP;
-  if (e->draining || !e->listed)
+  if (e->draining || !e->listed
+      || (e->lapsed && (e->dark || e->refused_us > 0)))
     return SUC_REPLACE;
   if (e->dark || e->refused_us > REFUSED_US)
     return SUC_ASK;
@@ -264,12 +266,16 @@
 }
 
 bool
-suc_count_votes (uint32_t reached, uint32_t missed)
+suc_count_votes (const struct suc_votes *v)
 {
-  /* One's own doubt is among the missed: alone it moves nothing.  */
-  if (reached == 0)
+  /* On the smaller side of a partition between the proxies the primary may
+     well lead on the other.  When it is gone, the directory drops it.  */
+  if (v->voted * 2 <= v->proxies)
+    return false;
+  if (v->reached == 0)
     return true;
-  return missed >= 2 && missed * MISSED_PART >= reached + missed;
+  /* One's own doubt is among the missed: alone it moves nothing.  */
+  return v->missed >= 2 && v->missed * MISSED_PART >= v->reached + v->missed;
 }
 
 static struct lp
@@ -364,12 +370,12 @@
       start_survey (seat, e, now_us);
       return;
     }
-  seat->reached = 0;
-  seat->missed = 1;
-  seat->voted = 0;
-  seat->asked = g_hash_table_size (vms) > 0 ? g_hash_table_size (vms) - 1 : 0;
+  seat->votes = (struct suc_votes){ 0, 1, 1, g_hash_table_size (vms) };
   seat->cause = cause_of (e);
   enter (seat, ASKING, now_us);
+  EV (seat->suc->o.log, now_us, EV_VOTE, EV_TEXT ("service", seat->svc->name),
+      EV_TEXT ("instance", seat->primary), EV_TEXT ("vote", "asked"),
+      EV_INT ("proxies", seat->votes.proxies));
   seat->suc->o.port->ops->ask (seat->suc->o.port, seat->svc->name,
                                seat->primary);
 }
@@ -377,11 +383,12 @@
 static void
 on_asking (struct seat *seat, const struct suc_evidence *e, int64_t now_us)
 {
-  if (now_us - seat->since_us < VOTE_US && seat->voted < seat->asked)
+  if (now_us - seat->since_us < VOTE_US
+      && seat->votes.voted < seat->votes.proxies)
     return;
   if (suc_judge (e) == SUC_KEEP)
     calm_down (seat, 0, now_us);
-  else if (suc_count_votes (seat->reached, seat->missed))
+  else if (suc_count_votes (&seat->votes))
     start_survey (seat, e, now_us);
   else
     {
@@ -617,15 +624,20 @@
 suc_voted (struct suc *s, const char *service, const char *instance,
            const char *vm, enum suc_vote vote, int64_t now_us)
 {
+  static const char *const votes[] = { "reached", "missed", "unknown" };
   struct seat *seat = seat_of (s, service);
 
+  EV (s->o.log, now_us, EV_VOTE, EV_TEXT ("service", service),
+      EV_TEXT ("instance", instance), EV_TEXT ("from", vm),
+      EV_TEXT ("vote", votes[vote]),
+      EV_INT ("after_us", now_us - seat->since_us));
   if (vote == SUC_VOTE_REACHED)
     plr_detour (s->o.pooler, service, instance, vm, now_us);
   if (seat->state != ASKING || g_strcmp0 (seat->primary, instance) != 0)
     return;
-  seat->voted++;
-  seat->reached += vote == SUC_VOTE_REACHED ? 1 : 0;
-  seat->missed += vote == SUC_VOTE_MISSED ? 1 : 0;
+  seat->votes.voted++;
+  seat->votes.reached += vote == SUC_VOTE_REACHED ? 1 : 0;
+  seat->votes.missed += vote == SUC_VOTE_MISSED ? 1 : 0;
 }
 
 enum suc_vote
--- a/packages/core/succeed.h
+++ b/packages/core/succeed.h
@@ -18,6 +18,7 @@
   bool known;            /* a primary was proved, or is listed */
   bool proved;           /* it leads by a proof that still holds */
   bool listed;           /* in the directory, or lapsed with the store */
+  bool lapsed;           /* the directory lost it a moment ago */
   bool draining;         /* it leaves as planned */
   bool denied;           /* it answers, and says that it doesn't lead */
   bool dark;             /* it doesn't answer */
@@ -103,8 +104,17 @@
 
 /* The decisions, for tests.  */
 enum suc_verdict suc_judge (const struct suc_evidence *e);
-/* True when the votes, this proxy's doubt included, speak for replacing.  */
-bool suc_count_votes (uint32_t reached, uint32_t missed);
+/* The votes on a primary, this proxy's doubt included.  */
+struct suc_votes
+{
+  uint32_t reached;
+  uint32_t missed;
+  uint32_t voted;   /* of any kind */
+  uint32_t proxies; /* that the directory lists */
+};
+
+/* True when they speak for replacing it.  */
+bool suc_count_votes (const struct suc_votes *v);
 /* The replica to promote, NULL when there is none.  */
 struct svc_instance *suc_choose (const struct svc *s,
                                  const struct svc_instance *primary,
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -309,42 +309,49 @@
     struct suc_evidence e;
     enum suc_verdict verdict;
   } const cases[] = {
-    // known proved listed draining denied dark refused leaderless candidates
+    // known proved listed lapsed draining denied dark refused leaderless
+    // candidates
     { "a healthy primary",
-      { true, true, true, false, false, false, 0, 0, 2 },
+      { true, true, true, false, false, false, false, 0, 0, 2 },
       SUC_KEEP },
     { "dark for this proxy",
-      { true, false, true, false, false, true, 0, 900000, 2 },
+      { true, false, true, false, false, false, true, 0, 900000, 2 },
       SUC_ASK },
     { "dark, and no replica answers either: this proxy is cut off",
-      { true, false, true, false, false, true, 0, 900000, 0 },
+      { true, false, true, false, false, false, true, 0, 900000, 0 },
       SUC_KEEP },
     { "a restart refuses connections for a moment",
-      { true, true, true, false, false, false, 100000, 0, 2 },
+      { true, true, true, false, false, false, false, 100000, 0, 2 },
       SUC_KEEP },
     { "connections are refused for longer",
-      { true, true, true, false, false, false, 300000, 0, 2 },
+      { true, true, true, false, false, false, false, 300000, 0, 2 },
       SUC_ASK },
     { "gone from the directory, though it still answers",
-      { true, true, false, false, false, false, 0, 0, 2 },
+      { true, true, false, false, false, false, false, 0, 0, 2 },
       SUC_REPLACE },
+    { "dark, and just dropped by the directory",
+      { true, false, true, true, false, false, true, 0, 900000, 2 },
+      SUC_REPLACE },
+    { "just dropped by the directory, which may be the store's fault",
+      { true, true, true, true, false, false, false, 0, 0, 2 },
+      SUC_KEEP },
     { "it leaves as planned",
-      { true, true, true, true, false, false, 0, 0, 2 },
+      { true, true, true, false, true, false, false, 0, 0, 2 },
       SUC_REPLACE },
     { "it leaves, and no replica can take over",
-      { true, true, true, true, false, false, 0, 0, 0 },
+      { true, true, true, false, true, false, false, 0, 0, 0 },
       SUC_KEEP },
     { "it denies, a promotion may be under way",
-      { true, false, true, false, true, false, 0, 500000, 2 },
+      { true, false, true, false, false, true, false, 0, 500000, 2 },
       SUC_KEEP },
     { "all deny for longer than a promotion takes",
-      { true, false, true, false, true, false, 0, 1300000, 2 },
+      { true, false, true, false, false, true, false, 0, 1300000, 2 },
       SUC_REPLACE },
     { "not heard of since the start, a moment ago",
-      { false, false, false, false, false, false, 0, 1000000, 2 },
+      { false, false, false, false, false, false, false, 0, 1000000, 2 },
       SUC_KEEP },
     { "never heard of",
-      { false, false, false, false, false, false, 0, 3000000, 2 },
+      { false, false, false, false, false, false, false, 0, 3000000, 2 },
       SUC_REPLACE },
   };
   for (const auto &c : cases)
@@ -355,17 +362,21 @@
 {
   struct
   {
-    uint32_t reached;
-    uint32_t missed; // this proxy's doubt included
+    struct suc_votes
+        v; // reached, missed (this proxy's included), all, proxies
     bool replace;
   } const cases[] = {
-    { 0, 1, true }, // nobody else answers, or there is nobody else
-    { 0, 9, true }, { 8, 1, false }, { 1, 1, false }, { 7, 2, false },
-    { 6, 3, true }, { 4, 5, true },  { 1, 2, true },
+    { { 0, 1, 1, 1 }, true }, // there is nobody else
+    { { 0, 9, 9, 9 }, true },  { { 0, 5, 5, 9 }, true },
+    { { 0, 2, 2, 9 }, false }, // the smaller side of a partition
+    { { 0, 4, 4, 8 }, false }, { { 8, 1, 9, 9 }, false },
+    { { 1, 1, 2, 2 }, false }, { { 7, 2, 9, 9 }, false },
+    { { 6, 3, 9, 9 }, true },  { { 4, 5, 9, 9 }, true },
+    { { 0, 2, 6, 9 }, true }, // others know nothing of it
   };
   for (const auto &c : cases)
-    EXPECT_EQ (suc_count_votes (c.reached, c.missed), c.replace)
-        << c.reached << " " << c.missed;
+    EXPECT_EQ (suc_count_votes (&c.v), c.replace)
+        << c.v.reached << " " << c.v.missed << " " << c.v.voted;
 }
 
 // What ends a primary, and what callers then get.
