--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -7,6 +7,8 @@
 /* A round trip weighs so much more than work: bytes between regions are dear
    and a nearer copy leaves the link to those who need it.  */
 #define DISTANCE_WEIGHT 3
+/* Statements that take so long on average queue for slots.  */
+#define SATURATED_US 45000
 /* Connections to homes for one instance: statements that one proxy has under
    way there at once.  */
 #define REMOTE_LINKS_MAX 8
@@ -59,6 +61,10 @@
 static bool
 may_open (const struct svc_instance *i, int64_t now_us)
 {
+  /* Where statements queue for slots another connection only takes one more
+     for its handshake.  */
+  if (i->work_us > SATURATED_US && i->links->len >= MAX (i->limits.share, 1))
+    return false;
   return i->links->len < i->limits.most && now_us >= i->open_after_us;
 }
 
