A primary that is not proved any more is looked for elsewhere

Without a proof for 1.6 s the others are asked; a home's refusal counts as refused. Ruled out: the promotion, which was proved by the homes at once.

--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -478,7 +478,12 @@
       EV_TEXT ("code", sqc_name (code)), EV_INT ("links", i->links->len));
   ctr_add (p->o.counters, CTR_CONNECTION_FAILED, 1);
   if (link->home)
-    plr_blame_home (p, link, now_us);
+    {
+      /* The home can't reach the instance, or is no home of it any more.  */
+      plr_blame_home (p, link, now_us);
+      if (i->refused_us == 0)
+        i->refused_us = now_us;
+    }
   else
     note_heard (p, i, now_us);
   if (code != SQC_CONNECTION_LIMIT)
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -12,6 +12,9 @@
 /* A proof of the lead is renewed at this age: half of the least that reads
    may be old, less a few round trips.  */
 #define PROOF_EVERY_US 400000
+/* Without a proof for so long another instance may lead: several questions
+   went unanswered.  */
+#define PROOF_LOST_US 1600000
 /* Pause between looks for an unknown primary: a few round trips.  */
 #define SEEK_EVERY_US 50000
 /* An instance that owes answers and says nothing for so long is asked a
@@ -309,6 +312,15 @@
 static void
 watch_leader (struct plr *p, struct svc *s, int64_t now_us)
 {
+  if (s->leader && now_us - svc_proved_us (s) > PROOF_LOST_US)
+    {
+      EV (p->o.log, now_us, EV_LEADER, EV_TEXT ("service", s->name),
+          EV_TEXT ("instance", s->leader->entry->id),
+          EV_TEXT ("what", "not proved any more"),
+          EV_INT ("proof_us", now_us - svc_proved_us (s)));
+      s->leader = NULL;
+      s->leaderless_us = now_us;
+    }
   if (!s->leader)
     plr_seek_leader (p, s, now_us);
   else if (now_us - svc_proved_us (s) > PROOF_EVERY_US
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -285,6 +285,35 @@
   ExpectNoBreach (w);
 }
 
+TEST (Pooler, ThroughHomesANewPrimaryIsFoundToo)
+{
+  // The homes refused the way to the dead primary, and it was taken for the
+  // primary for good.
+  PoolWorld w (16);
+  for (int n = 1; n <= 60; n++)
+    plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (), "10.0.1.1:1",
+                n == 1 ? "c" : "a", 0.25);
+  Caller *c = w.Open ("fresh");
+  EXPECT_EQ (w.Ask (c, STM_WRITE, nullptr, "a 1"), "ok");
+  EXPECT_TRUE (w.ups.back ()->via_home);
+  w.refused["i-0"] = true;
+  for (auto &u : w.ups)
+    if (u->open && u->instance->index == 0)
+      {
+        u->open = false;
+        plr_link_lost (w.pooler, u->link, false, w.now_us);
+      }
+  dbm_promote (w.group, "i-1", 100, w.now_us);
+  w.store_up = false;
+  for (int n = 0; n < 30; n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  EXPECT_EQ (w.Ask (c, STM_WRITE, nullptr, "a 2"), "ok");
+  ExpectNoBreach (w);
+}
+
 TEST (Pooler, ADrainingProxyEndsRestingSessionsOnly)
 {
   PoolWorld w (15);
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -86,6 +86,12 @@
     return;
   if (w->IsDark (u))
     return;
+  if (w->refused[u->instance->id] && u->via_home)
+    {
+      u->open = false;
+      plr_link_refused (w->pooler, u->link, SQC_NO_DATABASE, w->now_us);
+      return;
+    }
   if (w->refused[u->instance->id])
     {
       u->open = false;
