--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -29,8 +29,10 @@
     }
   else if (homes->own)
     {
-      l.share = MAX (max / MAX (homes->n, 1), 1);
-      l.most = l.share;
+      l.most = MAX (max / MAX (homes->n, 1), 1);
+      /* The other half is free for the homes that come after a power loss,
+         when the instance still counts the connections of those before.  */
+      l.share = MAX (l.most / 2, 1);
     }
   else
     {
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -37,8 +37,8 @@
 #define LOST_MIN_US 200000
 /* Connections above the share are closed after resting so long.  */
 #define SURPLUS_REST_US 500000
-/* The last connection to a replica is closed after.  */
-#define REPLICA_REST_US 2000000
+/* Within the share, all but one to the primary are closed after.  */
+#define SPARE_REST_US 2000000
 /* Others are asked to give a connection back this often.  */
 #define BEG_EVERY_US 100000
 /* An instance not listed any more is forgotten after this time.  */
@@ -202,7 +202,9 @@
     return false;
   if (plr_has_surplus (i))
     return rested_us >= SURPLUS_REST_US;
-  return i->svc->leader && i->svc->leader != i && rested_us >= REPLICA_REST_US;
+  if (i->links->len > 1)
+    return rested_us >= SPARE_REST_US;
+  return i->svc->leader && i->svc->leader != i && rested_us >= SPARE_REST_US;
 }
 
 /* Closes connections that rest.  What a VM that lost power held is counted by
