Log lines never wait; documents have depth limits; fuzz targets of the platform

- Lines go out only when the pipe takes them whole; chosen texts are cut.
Test: a reader that stops.
- A YAML text of 200,000 nested brackets took over 10 s; the events are read first and depth and aliases limited.
- Fuzzing of lines, relay, upstream, records, site and gossip.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
   libglib2.0-dev libmsgpack-dev libcurl4-openssl-dev libjansson-dev \
   libpq-dev libxxhash-dev libsodium-dev libssl-dev
 
-.PHONY: all deps build demo test check bench bench-fleet explore fuzz sanitize slopes capacity replay experiments
+.PHONY: soak demo-platform all deps build demo test check bench bench-fleet explore fuzz sanitize slopes capacity replay experiments
 
 SOURCES = $(wildcard packages/*/*.c platform/*.c bench/*.c tests/*.c tests/*/*.c)
 FORMATTED = $(SOURCES) $(wildcard packages/*/*.h platform/*.h tests/*.h tests/*/*.h \
@@ -41,7 +41,7 @@
 	  --enable=warning,performance,portability --std=c11 -j 4 \
 	  --suppress=missingInclude --suppress=missingIncludeSystem \
 	  -Ipackages/core -Ipackages/adapters -Ipackages/proxy -Ipackages/ctl -Iplatform \
-	  -Itests/fakes $(SOURCES)
+	  -Itests/fakes -Itests/soak $(SOURCES)
 	echo $(SOURCES) | xargs -n 4 -P 6 clang-tidy -p $(BUILD) --quiet
 
 bench-fleet: build
@@ -67,6 +67,11 @@
 	done
 	build-address/tests/core-test
 	build-address/tests/world-test
+	build-address/tests/platform-test
+	build-address/tests/pooler-test
+	ASAN_OPTIONS=detect_leaks=0 build-address/tests/soak --seed 2 \
+	  --seconds 20 --base 30000 --dir build-address/soak \
+	  --program build-address/packages/proxy/cassiabayd
 	SKIP_TLS=1 RATE=40 FLEET_BASE_E2E=23000 BUILD=build-address bash tests/e2e.sh
 	G_SLICE=always-malloc TSAN_OPTIONS=suppressions=tests/tsan.supp SKIP_TLS=1 RATE=40 \
 	  FLEET_BASE_E2E=24000 BUILD=build-thread bash tests/e2e.sh
@@ -94,3 +99,15 @@
 # What each decision buys, against baselines: a table for DEPLOYMENT.
 experiments: build
 	BUILD=$(BUILD) DEPLOYMENT=$(or $(DEPLOYMENT),imena) bash bench/experiments.sh
+
+# Fault soak of real processes: SEED=7 or SEEDS=1-50, SECONDS_EACH, PROXIES.
+SEEDS ?= $(or $(SEED),1-5)
+soak: build
+	BUILD=$(BUILD) SEEDS=$(SEEDS) SECONDS_EACH=$(or $(SECONDS_EACH),30) \
+	  PROXIES=$(or $(PROXIES),4) bash tests/soak/run.sh
+
+# Three proxies on the platform's stand-ins: callers are served, a primary goes
+# dark, and what they saw is shown, a line a second.
+demo-platform: build
+	$(BUILD)/tests/soak --demo --proxies 3 --seconds 30 --dir $(BUILD)/demo \
+	  --program $(BUILD)/packages/proxy/cassiabayd
--- a/packages/core/event.c
+++ b/packages/core/event.c
@@ -39,13 +39,16 @@
   log->arg = arg;
 }
 
+/* Bytes of one text that are written: callers choose ids.  */
+#define TEXT_MAX 160
+
 /* JSON text: quotes and control bytes escaped, bytes beyond ASCII replaced,
    since the input need not be UTF-8.  */
 static void
 append_text (GString *out, const char *text)
 {
   g_string_append_c (out, '"');
-  for (const char *c = text; *c; c++)
+  for (const char *c = text; *c && c < text + TEXT_MAX; c++)
     {
       unsigned char byte = (unsigned char)*c;
 
--- a/packages/core/gossip.c
+++ b/packages/core/gossip.c
@@ -55,8 +55,15 @@
   *out = NULL;
   if (o->type == MSGPACK_OBJECT_NIL)
     return true;
-  if (o->type != MSGPACK_OBJECT_STR || o->via.str.size > GSP_TEXT_MAX
-      || memchr (o->via.str.ptr, '\0', o->via.str.size))
+  if (o->type != MSGPACK_OBJECT_STR || o->via.str.size > GSP_TEXT_MAX)
+    return false;
+  /* An empty text has no bytes to point at.  */
+  if (o->via.str.size == 0)
+    {
+      *out = g_strdup ("");
+      return true;
+    }
+  if (memchr (o->via.str.ptr, '\0', o->via.str.size))
     return false;
   *out = g_strndup (o->via.str.ptr, o->via.str.size);
   return true;
--- a/packages/core/relay.c
+++ b/packages/core/relay.c
@@ -126,7 +126,7 @@
 rly_find_homes (const struct rly_table *t, const struct dir_instance *instance,
                 int32_t connections_max, struct rly_homes *out)
 {
-  double scores[RLY_HOMES_MAX];
+  double scores[RLY_HOMES_MAX] = { 0 };
   uint32_t most = CLAMP ((uint32_t)MAX (connections_max, 0) / RLY_LINKS_A_HOME,
                          2, RLY_HOMES_MAX);
 
--- a/packages/core/yamldoc.c
+++ b/packages/core/yamldoc.c
@@ -9,11 +9,53 @@
   return (const char *)node->data.scalar.value;
 }
 
+/* Limits of a document that people wrote.  */
+#define DEPTH_MAX 64
+#define ALIASES_MAX 1000
+
+/* Reads the events alone: deep nesting makes the parser slow, and aliases make
+   a small text large.  Gives what is wrong, or NULL; a text that is no YAML is
+   left to the parser.  */
+static const char *
+find_excess (const char *text, size_t len)
+{
+  yaml_parser_t parser;
+  yaml_event_t event;
+  uint32_t depth = 0;
+  uint32_t aliases = 0;
+  bool more = true;
+  const char *wrong = NULL;
+
+  if (!yaml_parser_initialize (&parser))
+    return "out of memory";
+  yaml_parser_set_input_string (&parser, (const unsigned char *)text, len);
+  while (more && !wrong && yaml_parser_parse (&parser, &event))
+    {
+      yaml_event_type_t type = event.type;
+
+      more = type != YAML_STREAM_END_EVENT;
+      if (type == YAML_SEQUENCE_START_EVENT
+          || type == YAML_MAPPING_START_EVENT)
+        depth++;
+      if (type == YAML_SEQUENCE_END_EVENT || type == YAML_MAPPING_END_EVENT)
+        depth--;
+      aliases += type == YAML_ALIAS_EVENT ? 1 : 0;
+      if (depth > DEPTH_MAX)
+        wrong = "nested too deeply";
+      else if (aliases > ALIASES_MAX)
+        wrong = "too many aliases";
+      yaml_event_delete (&event);
+    }
+  yaml_parser_delete (&parser);
+  return wrong;
+}
+
 bool
 yml_init (struct yml_doc *doc, const char *file, const char *text, size_t len,
           struct fnd_list *findings)
 {
   yaml_parser_t parser;
+  const char *excess;
   bool ok = false;
 
   doc->file = file;
@@ -25,9 +67,10 @@
                len, YML_BYTES_MAX);
       return false;
     }
-  if (!yaml_parser_initialize (&parser))
+  excess = find_excess (text, len);
+  if (excess || !yaml_parser_initialize (&parser))
     {
-      fnd_add (findings, file, 0, "out of memory");
+      fnd_add (findings, file, 0, "%s", excess ? excess : "out of memory");
       return false;
     }
   yaml_parser_set_input_string (&parser, (const unsigned char *)text, len);
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -130,8 +130,8 @@
       break;
     case GSP_VOTE:
       if (m.vote <= SUC_VOTE_UNKNOWN)
-        suc_voted (c->suc, m.service, m.instance, from,
-                   (enum suc_vote)m.vote, now_us);
+        suc_voted (c->suc, m.service, m.instance, from, (enum suc_vote)m.vote,
+                   now_us);
       break;
     case GSP_YIELD:
       plr_yield (c->o.pooler, m.service, m.instance, now_us);
--- a/tests/fakes/dbmodel.c
+++ b/tests/fakes/dbmodel.c
@@ -454,6 +454,24 @@
   end->status = &row;
 }
 
+/* Values and prepared statements.  */
+static void
+set_up (struct dbm_conn *c, const struct stm *s)
+{
+  const char *mode = s->kind == STM_PREPARE_WRITE ? "w" : "r";
+
+  if (s->kind == STM_SET)
+    g_hash_table_replace (c->values, g_strdup (s->name), g_strdup (s->args));
+  else if (s->kind == STM_RESET)
+    {
+      g_hash_table_remove_all (c->values);
+      g_hash_table_remove_all (c->prepared);
+    }
+  else
+    g_hash_table_replace (c->prepared, g_strdup (s->name),
+                          g_strconcat (mode, s->args, NULL));
+}
+
 void
 dbm_run (struct dbm_conn *c, struct lp after, const struct stm *s,
          struct stm_end *end, int64_t now_us)
@@ -488,19 +506,10 @@
         execute (c, after, s, end, now_us);
         break;
       case STM_SET:
-        g_hash_table_replace (c->values, g_strdup (s->name),
-                              g_strdup (s->args));
-        break;
       case STM_PREPARE_READ:
       case STM_PREPARE_WRITE:
-        g_hash_table_replace (
-            c->prepared, g_strdup (s->name),
-            g_strconcat (s->kind == STM_PREPARE_WRITE ? "w" : "r", s->args,
-                         NULL));
-        break;
       case STM_RESET:
-        g_hash_table_remove_all (c->values);
-        g_hash_table_remove_all (c->prepared);
+        set_up (c, s);
         break;
       case STM_STATUS:
         status (c, end);
--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -1,9 +1,14 @@
 /* libFuzzer targets for everything that parses input.  FUZZ_TARGET picks one:
-   decl, settings, access, json, token, wire, manifest.  */
+   decl, settings, access, json, token, wire, manifest, lines, relay, upstream,
+   records, site, gossip.  */
 #include "access.h"
 #include "callerjson.h"
+#include "gossip.h"
+#include "lines.h"
 #include "manifest.h"
+#include "records.h"
 #include "settings.h"
+#include "site.h"
 #include "wire.h"
 
 #include <sodium.h>
@@ -125,14 +130,116 @@
   mnf_clear (&m);
 }
 
+/* TEXT as lines, each with its NUL, as the sockets cut them.  */
+static void
+each_line (const char *text, size_t len, void (*fn) (char *line, size_t len))
+{
+  size_t start = 0;
+
+  for (size_t i = 0; i <= len; i++)
+    if (i == len || text[i] == '\n')
+      {
+        char *line = g_malloc (i - start + 1);
+
+        memcpy (line, text + start, i - start);
+        line[i - start] = '\0';
+        fn (line, i - start);
+        g_free (line);
+        start = i + 1;
+      }
+}
+
+static void
+caller_line (char *line, size_t len)
+{
+  struct codec_caller m;
+  struct lp nowhere = { 0 };
+  GString *out = g_string_new (NULL);
+
+  lin_codec ()->ops->read_caller (lin_codec (), line, len, &m);
+  if (m.kind == CODEC_STATEMENT && m.statement.kind != STM_MALFORMED)
+    lin_codec ()->ops->write_statement (lin_codec (), out, nowhere,
+                                        &m.statement);
+  g_string_free (out, TRUE);
+}
+
+static void
+relay_line (char *line, size_t len)
+{
+  struct codec_caller m;
+
+  lin_codec ()->ops->read_relay (lin_codec (), line, len, &m);
+}
+
+static void
+upstream_line (char *line, size_t len)
+{
+  struct codec_upstream m;
+  struct stm_status status;
+
+  lin_codec ()->ops->read_status (lin_codec (), line, len, &status);
+  lin_codec ()->ops->read_upstream (lin_codec (), line, len, &m);
+}
+
+static void
+fuzz_lines (const char *text, size_t len)
+{
+  each_line (text, len, caller_line);
+}
+
+static void
+fuzz_relay (const char *text, size_t len)
+{
+  each_line (text, len, relay_line);
+}
+
+static void
+fuzz_upstream (const char *text, size_t len)
+{
+  each_line (text, len, upstream_line);
+}
+
+static void
+fuzz_records (const char *text, size_t len)
+{
+  char *why;
+
+  dir_config_free (rec_config (text, len, &why));
+  g_free (why);
+  dir_instance_free (rec_instance ("i-1", text, len, &why));
+  g_free (why);
+}
+
+static void
+fuzz_site (const char *text, size_t len)
+{
+  struct fnd_list findings;
+
+  fnd_init (&findings);
+  site_free (site_parse ("s.yaml", text, len, &findings));
+  fnd_free (&findings);
+}
+
+static void
+fuzz_gossip (const char *text, size_t len)
+{
+  struct gsp_message m;
+
+  if (gsp_decode (text, len, &m))
+    gsp_clear (&m);
+}
+
 static const struct
 {
   const char *name;
   void (*run) (const char *text, size_t len);
-} targets[] = { { "decl", fuzz_decl },        { "settings", fuzz_settings },
-                { "access", fuzz_access },    { "json", fuzz_json },
-                { "token", fuzz_token },      { "wire", fuzz_wire },
-                { "manifest", fuzz_manifest } };
+} targets[] = { { "decl", fuzz_decl },         { "settings", fuzz_settings },
+                { "access", fuzz_access },     { "json", fuzz_json },
+                { "token", fuzz_token },       { "wire", fuzz_wire },
+                { "manifest", fuzz_manifest }, { "lines", fuzz_lines },
+                { "relay", fuzz_relay },       { "upstream", fuzz_upstream },
+                { "records", fuzz_records },   { "site", fuzz_site },
+                { "gossip", fuzz_gossip } };
 
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -9,11 +9,12 @@
 # shellcheck disable=SC2046
 clang -g -O1 -std=gnu11 -D_GNU_SOURCE -fsanitize=fuzzer,address,undefined \
   -fno-sanitize-recover=undefined \
-  -Ipackages/core -Ipackages/adapters -Ipackages/proxy \
-  tests/fuzz/fuzz.c packages/core/{decl,finding,manifest,packcheck,reason,requestid,token,wire,yamldoc}.c \
-  packages/adapters/{access,callerjson}.c packages/proxy/settings.c \
+  -Ipackages/core -Ipackages/adapters -Ipackages/proxy -Iplatform \
+  tests/fuzz/fuzz.c packages/core/{decl,dir,finding,gossip,manifest,packcheck,reason,requestid,stm,token,wire,yamldoc}.c \
+  packages/adapters/{access,callerjson}.c packages/proxy/settings.c platform/{lines,records,site}.c \
   $(pkg-config --cflags --libs $LIBS) -o "$OUT/fuzz"
-for target in decl settings access json token wire manifest; do
+for target in decl settings access json token wire manifest lines relay \
+  upstream records site gossip; do
   rm -rf "${OUT:?}/$target" && mkdir -p "$OUT/$target"
   FUZZ_TARGET=$target "$OUT/fuzz" -seed=1 -runs="$RUNS" \
     -max_len=4096 -artifact_prefix="$OUT/$target-" "$OUT/$target" \
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -13,27 +13,27 @@
 struct caller
 {
   struct soak *soak;
-  uint32_t index;
-  char name[16];
   struct vm *vm;
-  uint32_t database;     /* two groups, three kinds each */
-  struct stream *stream; /* NULL between connections */
-  bool started;
-  bool busy;
-  int64_t since_us; /* of what it waits for */
-  int64_t next_us;
-  enum stm_state state;
-  char id[32];
-  enum stm_kind kind;
-  bool writes;
+  struct stream *stream;  /* NULL between connections */
   GPtrArray *open_writes; /* of the transaction */
   GHashTable *values;
-  char *shape; /* of prepared statement "s", NULL = none */
+  char *shape;      /* of prepared statement "s", NULL = none */
+  int64_t since_us; /* of what it waits for */
+  int64_t next_us;
   int64_t transaction_us;
+  int64_t served_us; /* last success */
   struct lp own;
   struct lp transaction_own;
-  int64_t served_us; /* last success */
+  uint32_t index;
+  uint32_t database; /* two groups, three kinds each */
+  enum stm_state state;
+  enum stm_kind kind;
   enum sqc code;
+  char name[16];
+  char id[32];
+  bool started;
+  bool busy;
+  bool writes;
   bool failed;
 };
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -19,6 +19,8 @@
 /* A process that was told to stop is gone within its grace period.  */
 #define GRACE_US 7000000
 #define BEAT_US 1000000
+/* Failures that are written out; the others are counted.  */
+#define FAILURES_TOLD 5
 /* The directory forgets an instance that says nothing for so long.  */
 #define LAPSE_US 3600000
 
@@ -39,15 +41,14 @@
 soak_fail (const char *format, ...)
 {
   va_list args;
+  char *text;
 
   va_start (args, format);
-  if (soak.failures++ < 5)
-    {
-      fputs ("soak: FAILED: ", stderr);
-      vfprintf (stderr, format, args);
-      fputc ('\n', stderr);
-    }
+  text = g_strdup_vprintf (format, args);
   va_end (args);
+  if (soak.failures++ < FAILURES_TOLD)
+    fprintf (stderr, "soak: FAILED: %s\n", text);
+  g_free (text);
 }
 
 static uint32_t
@@ -311,9 +312,37 @@
   kvs_set_fault (soak.store, KVS_UP);
 }
 
+/* One dark primary, from 8 s on; a line a second.  */
+static void
+demonstrate (int64_t now_us)
+{
+  struct group *g = &soak.groups[0];
+  struct dbm_instance *primary = dbm_primary (g->db);
+  int64_t second = (now_us - soak.start_us) / 1000000;
+
+  if (second == 8 && soak.told_us / 1000000 != second && primary)
+    {
+      printf ("-- the primary %s of %s goes dark\n", primary->id, g->name);
+      lsv_faults (g->servers[primary->index])->dark = true;
+    }
+  if (soak.told_us / 1000000 == second)
+    return;
+  soak.told_us = second * 1000000;
+  printf ("%2d s: %4u statements served, %u promises and %u unknown so far, "
+          "%s led by %s, %u promotions\n",
+          (int)second, soak.oks - soak.told_oks, soak.promises, soak.unknowns,
+          g->name, primary ? primary->id : "nobody", g->db->promotions);
+  soak.told_oks = soak.oks;
+}
+
 static void
 inject (int64_t now_us)
 {
+  if (soak.demo)
+    {
+      demonstrate (now_us);
+      return;
+    }
   if (now_us < soak.fault_us || now_us > soak.heal_us)
     return;
   soak.fault_us = now_us + 100000 + roll (900000);
@@ -434,6 +463,7 @@
   int64_t now_us = start_us;
   bool mended = false;
 
+  soak.start_us = start_us;
   soak.fault_us = start_us + 3000000;
   soak.heal_us = start_us + run_us - HEAL_US;
   while (now_us < start_us + run_us)
@@ -473,8 +503,16 @@
       }
 }
 
-int
-main (int argc, char **argv)
+/* What the command line says.  */
+struct choice
+{
+  uint32_t seed;
+  int64_t seconds;
+  const char *dir;
+};
+
+static bool
+read_options (int argc, char **argv, struct choice *c)
 {
   static const struct option options[]
       = { { "seed", required_argument, NULL, 's' },
@@ -483,24 +521,19 @@
           { "program", required_argument, NULL, 'x' },
           { "base", required_argument, NULL, 'b' },
           { "dir", required_argument, NULL, 'd' },
+          { "demo", no_argument, NULL, 'D' },
           { NULL, 0, NULL, 0 } };
-  uint32_t seed = 1;
-  int64_t seconds = 25;
-  const char *dir = "out/soak";
-  char *store;
   int option;
 
-  soak.n_vms = 4;
-  soak.base = 26000;
-  while ((option = getopt_long (argc, argv, "s:t:p:x:b:d:", options, NULL))
+  while ((option = getopt_long (argc, argv, "s:t:p:x:b:d:D", options, NULL))
          != -1)
     switch (option)
       {
       case 's':
-        seed = (uint32_t)g_ascii_strtoull (optarg, NULL, 10);
+        c->seed = (uint32_t)g_ascii_strtoull (optarg, NULL, 10);
         break;
       case 't':
-        seconds = g_ascii_strtoll (optarg, NULL, 10);
+        c->seconds = g_ascii_strtoll (optarg, NULL, 10);
         break;
       case 'p':
         soak.n_vms = (uint32_t)CLAMP (g_ascii_strtoll (optarg, NULL, 10), 1,
@@ -513,40 +546,66 @@
         soak.base = (uint16_t)g_ascii_strtoull (optarg, NULL, 10);
         break;
       case 'd':
-        dir = optarg;
+        c->dir = optarg;
+        break;
+      case 'D':
+        soak.demo = true;
         break;
       default:
-        return 2;
+        return false;
       }
-  if (!soak.program || g_mkdir_with_parents (dir, 0755) != 0)
-    return 2;
+  return soak.program && g_mkdir_with_parents (c->dir, 0755) == 0;
+}
+
+static void
+set_up (const struct choice *c)
+{
+  char *store = g_strdup_printf ("127.0.0.1:%u", soak.base + 19);
+
   signal (SIGPIPE, SIG_IGN);
-  soak.random = g_rand_new_with_seed (seed);
-  g_random_set_seed (seed);
+  soak.random = g_rand_new_with_seed (c->seed);
+  g_random_set_seed (c->seed);
   g_mutex_init (&soak.lock);
   soak.links = g_ptr_array_new ();
   soak.senders
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   if (!loop_init (&soak.loop))
-    return 1;
+    g_error ("no event loop: %s", g_strerror (errno));
   stream_set_init (&soak.streams, &soak.loop);
-  store = g_strdup_printf ("127.0.0.1:%u", soak.base + 19);
   soak.store = kvs_new (store, on_promote, NULL);
   if (!soak.store)
     g_error ("cannot listen on %s", store);
+  g_free (store);
   for (uint32_t n = 0; n < SOAK_GROUPS; n++)
     make_group (n);
   put_config ();
   beat (loop_now_us ());
   for (uint32_t n = 0; n < soak.n_vms; n++)
-    make_vm (n, dir);
+    make_vm (n, c->dir);
   callers_start (&soak);
-  run_for (seconds * 1000000);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct choice c = { 1, 25, "out/soak" };
+
+  soak.n_vms = 4;
+  soak.base = 26000;
+  if (!read_options (argc, argv, &c))
+    {
+      fputs ("Usage: soak --program FILE [--seed N] [--seconds N] "
+             "[--proxies N] [--base PORT] [--dir DIR] [--demo]\n",
+             stderr);
+      return 2;
+    }
+  set_up (&c);
+  run_for (c.seconds * 1000000);
   judge ();
   stop_vms ();
   printf ("soak seed %u: %s; statements %u, ok %u, promises %u, unknown %u, "
           "closed %u, promotions %u\n",
-          seed, soak.failures ? "FAILED" : "ok", soak.asked, soak.oks,
+          c.seed, soak.failures ? "FAILED" : "ok", soak.asked, soak.oks,
           soak.promises, soak.unknowns, soak.closes,
           soak.groups[0].db->promotions + soak.groups[1].db->promotions);
   return soak.failures ? 1 : 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -63,6 +63,7 @@
   uint16_t base; /* first port */
   uint32_t version;
   int64_t beat_us;
+  int64_t start_us;
   int64_t fault_us;
   int64_t heal_us;
   uint32_t asked;
@@ -71,6 +72,9 @@
   uint32_t unknowns;
   uint32_t closes;
   uint32_t failures;
+  bool demo; /* one fault, told step by step */
+  int64_t told_us;
+  uint32_t told_oks;
 };
 
 bool soak_sender (void *arg, const char *id, struct dbm_sender *out);
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -6,12 +6,16 @@
 #include "event.h"
 #include "gossip.h"
 #include "lines.h"
+#include "logsink.h"
 #include "place.h"
 #include "records.h"
 #include "site.h"
+#include "yamldoc.h"
 }
+#include <csignal>
 #include <gtest/gtest.h>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace
@@ -390,6 +394,57 @@
   EXPECT_EQ (log.dropped, 1u);
 }
 
+TEST (Event, AReaderThatStopsBlocksNobody)
+{
+  struct ev_log log;
+  int fds[2];
+  ASSERT_EQ (pipe (fds), 0);
+  ev_init (&log, "vm-1", lgs_write, &fds[1]);
+  std::string id (1000000, 'x');
+  for (int n = 0; n < 3000; n++)
+    EV (&log, 1000000LL * n, EV_REFUSED, EV_TEXT ("id", id.c_str ()));
+  EXPECT_GT (log.dropped, 1000u);
+  EXPECT_EQ (log.counts[EV_REFUSED], 3000u);
+  close (fds[0]);
+  close (fds[1]);
+}
+
+TEST (Yaml, NestingIsBounded)
+{
+  struct
+  {
+    std::string text;
+    bool good;
+  } const cases[] = {
+    { std::string (200000, '['), false },
+    { std::string (100, '[') + std::string (100, ']'), false },
+    { std::string (20, '[') + std::string (20, ']'), true },
+    { "a: &x [1]\nb: *x\n", true },
+    { "a: &x [1]\nb: [" +
+          [] {
+            std::string many;
+            for (int n = 0; n < 5000; n++)
+              many += "*x, ";
+            return many;
+          }()
+          + "1]\n",
+      false },
+  };
+  for (const auto &c : cases)
+    {
+      struct fnd_list findings;
+      struct yml_doc doc;
+      fnd_init (&findings);
+      bool good = yml_init (&doc, "f.yaml", c.text.data (), c.text.size (),
+                            &findings);
+      EXPECT_EQ (good, c.good) << c.text.substr (0, 40);
+      EXPECT_EQ (fnd_count (&findings), c.good ? 0u : 1u);
+      if (good)
+        yml_free (&doc);
+      fnd_free (&findings);
+    }
+}
+
 TEST (Gossip, RoundTripAndRefusals)
 {
   struct gsp_message m = {};
@@ -412,6 +467,9 @@
   out->data[2] = 99;
   EXPECT_FALSE (gsp_decode ((char *)out->data, out->len, &back));
   EXPECT_FALSE (gsp_decode ("\xff\xff", 2, &back));
+  // An empty service, as the fuzzer sent it.
+  EXPECT_TRUE (gsp_decode ("\x97\x01\x01\xa0\xa1i\x00\x07\x90", 9, &back));
+  gsp_clear (&back);
   g_byte_array_free (out, TRUE);
 }
 
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -29,7 +29,7 @@
   bool open = true; // at the proxy's end
   bool silent = false;
   bool via_home = false; // through another proxy
-  int64_t last_us = 0; // answers leave in order
+  int64_t last_us = 0;   // answers leave in order
 };
 
 // A caller's session, and what it was told.
