A late answer is logged with where its time went

Cause: a late answer left no line of its own, only a sampled success, so an operator could not tell queueing from a slow database. Test: a slow statement's line names it, with queue, upstream and usual time.

--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -57,6 +57,27 @@
   s->work = (struct ses_work){ 0 };
 }
 
+/* Samples successes, and tells each late one with where its time went.  */
+static void
+log_success (struct plr *p, const struct ses *s, const struct stm_end *end,
+             int64_t now_us)
+{
+  int64_t took_us = now_us - s->arrived_us;
+  bool late = s->work.objective_us > 0 && took_us > s->work.objective_us;
+
+  EV (p->o.log, now_us, late ? EV_LATE : EV_SERVED,
+      EV_TEXT ("id", s->statement.id), EV_TEXT ("database", s->database),
+      EV_TEXT ("kind", kind_name (s)),
+      EV_TEXT ("instance", s->link->instance->entry->id),
+      EV_TEXT ("through", s->link->home ? s->link->home : ""),
+      EV_INT ("term", end->position.term),
+      EV_INT ("position", (int64_t)end->position.number),
+      EV_INT ("tries", s->tries), EV_INT ("took_us", took_us),
+      EV_INT ("queued_us", s->sent_us - s->arrived_us),
+      EV_INT ("upstream_us", now_us - s->sent_us),
+      EV_INT ("usual_us", s->link->instance->work_us));
+}
+
 void
 plr_succeed (struct plr *p, struct ses *s, struct stm_end *end, int64_t now_us)
 {
@@ -67,12 +88,7 @@
   ctr_observe (p->o.counters, kind_name (s), now_us - s->arrived_us);
   ctr_observe (p->o.counters, "queue_wait", s->sent_us - s->arrived_us);
   ctr_observe (p->o.counters, "upstream", now_us - s->sent_us);
-  EV (p->o.log, now_us, EV_SERVED, EV_TEXT ("id", s->statement.id),
-      EV_TEXT ("kind", kind_name (s)),
-      EV_TEXT ("instance", s->link->instance->entry->id),
-      EV_INT ("term", end->position.term),
-      EV_INT ("position", (int64_t)end->position.number),
-      EV_INT ("tries", s->tries), EV_INT ("took_us", now_us - s->arrived_us));
+  log_success (p, s, end, now_us);
   if (ends && (s->writes || s->work.wrote))
     {
       s->last_commit = end->position;
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -314,6 +314,19 @@
   ExpectNoBreach (w);
 }
 
+TEST (Pooler, ALateAnswerSaysWhereItsTimeWent)
+{
+  PoolWorld w (17);
+  Caller *c = w.Open ("fresh");
+  w.Ask (c, STM_READ, nullptr, "a");
+  w.faults.work_us = 400000;
+  EXPECT_EQ (w.Ask (c, STM_WRITE, nullptr, "a 1"), "ok");
+  const std::string &line = w.log_lines.back ();
+  EXPECT_NE (line.find ("\"event\":\"late\""), std::string::npos) << line;
+  EXPECT_NE (line.find (c->id), std::string::npos) << line;
+  EXPECT_NE (line.find ("\"upstream_us\":40"), std::string::npos) << line;
+}
+
 TEST (Pooler, ADrainingProxyEndsRestingSessionsOnly)
 {
   PoolWorld w (15);
