A stopping proxy ends sessions with their answers

Ruled out: statements that had been read; those are answered. Test ADrainingProxyEndsSessionsWithTheirAnswers.

--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -38,7 +38,7 @@
 {
   s->state = end->state;
   ses_rest (s, now_us);
-  p->o.callers->ops->answer (p->o.callers, s->tag, end);
+  plr_answer (p, s, end);
 }
 
 void
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -142,7 +142,7 @@
 {
   s->state = end->state;
   s->rested_us = now_us;
-  p->o.callers->ops->answer (p->o.callers, s->tag, end);
+  plr_answer (p, s, end);
 }
 
 /* Answers a statement that was not taken yet.  */
@@ -362,14 +362,23 @@
 }
 
 void
-plr_drain (struct plr *p, bool force, int64_t now_us)
+plr_answer (struct plr *p, struct ses *s, const struct stm_end *end)
+{
+  p->o.callers->ops->answer (p->o.callers, s->tag, end);
+  if (p->drain != PLR_DRAIN_NONE && end->state == STM_IDLE)
+    p->o.callers->ops->hang_up (p->o.callers, s->tag);
+}
+
+void
+plr_drain (struct plr *p, enum plr_drain drain, int64_t now_us)
 {
   GList *next;
 
-  p->draining = true;
-  for (GList *l = p->sessions.head; l; l = next)
+  p->drain = drain;
+  for (GList *l = p->sessions.head; l && drain >= PLR_DRAIN_RESTING; l = next)
     {
       struct ses *s = l->data;
+      bool force = drain == PLR_DRAIN_ALL;
 
       next = l->next;
       if (!is_busy (s) || (force && s->relay_to))
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -119,9 +119,18 @@
 #define PLR_TICK_US 20000
 void plr_tick (struct plr *p, int64_t now_us);
 
-/* Graceful shutdown: sessions at rest are told to go, others as they come to
-   rest.  With FORCE open transactions are ended too.  */
-void plr_drain (struct plr *p, bool force, int64_t now_us);
+/* How far a graceful shutdown has come.  */
+enum plr_drain
+{
+  PLR_DRAIN_NONE,
+  /* A session is ended together with its next answer: its caller can't have
+     sent the next statement yet, which a close in between might cut.  */
+  PLR_DRAIN_ANSWERED,
+  PLR_DRAIN_RESTING, /* sessions that still rest are ended too */
+  PLR_DRAIN_ALL      /* and open transactions */
+};
+
+void plr_drain (struct plr *p, enum plr_drain drain, int64_t now_us);
 uint32_t plr_count_sessions (const struct plr *p);
 /* Sessions with a statement or transaction under way.  */
 uint32_t plr_count_busy (const struct plr *p);
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -20,7 +20,7 @@
   struct rly_table vms;
   GHashTable *bad_homes; /* name -> int64_t *, not used before */
   bool directory_reachable;
-  bool draining;
+  enum plr_drain drain;
   uint64_t random;
   plr_yield_fn *starved; /* NULL: nobody to ask */
   void *starved_arg;
@@ -94,6 +94,8 @@
 void plr_seek_leader (struct plr *p, struct svc *s, int64_t now_us);
 
 struct svc *plr_service (struct plr *p, const char *name);
+/* Hands END to the caller; S may be gone afterwards.  */
+void plr_answer (struct plr *p, struct ses *s, const struct stm_end *end);
 /* Takes the statement of S out of all queues.  */
 void plr_leave_queues (struct plr *p, struct ses *s);
 /* Ends the transaction or lone statement of S.  */
--- a/packages/core/poolrelay.c
+++ b/packages/core/poolrelay.c
@@ -56,7 +56,7 @@
   plr_leave_queues (p, s);
   end.state = s->state;
   ses_rest (s, now_us);
-  p->o.callers->ops->answer (p->o.callers, s->tag, &end);
+  plr_answer (p, s, &end);
 }
 
 void
@@ -177,5 +177,5 @@
   if (end->state == STM_IDLE)
     plr_release (p, s, now_us);
   ses_rest (s, now_us);
-  p->o.callers->ops->answer (p->o.callers, s->tag, end);
+  plr_answer (p, s, end);
 }
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -327,18 +327,28 @@
   EXPECT_NE (line.find ("\"upstream_us\":40"), std::string::npos) << line;
 }
 
-TEST (Pooler, ADrainingProxyEndsRestingSessionsOnly)
+TEST (Pooler, ADrainingProxyEndsSessionsWithTheirAnswers)
 {
   PoolWorld w (15);
-  Caller *rest = w.Open ("fresh");
+  Caller *active = w.Open ("fresh");
+  Caller *resting = w.Open ("fresh");
   Caller *busy = w.Open ("fresh");
   w.Ask (busy, STM_BEGIN);
   EXPECT_EQ (w.Ask (busy, STM_WRITE, nullptr, "a 1"), "ok");
-  plr_drain (w.pooler, false, w.now_us);
-  EXPECT_EQ (rest->session, nullptr);
+  plr_drain (w.pooler, PLR_DRAIN_ANSWERED, w.now_us);
+  EXPECT_NE (active->session, nullptr) << "closing now may cut a statement";
+  EXPECT_EQ (w.Ask (active, STM_READ, nullptr, "a"), "ok");
+  EXPECT_EQ (active->session, nullptr);
+  plr_drain (w.pooler, PLR_DRAIN_RESTING, w.now_us);
+  EXPECT_EQ (resting->session, nullptr);
   ASSERT_NE (busy->session, nullptr);
   EXPECT_EQ (w.Ask (busy, STM_COMMIT), "ok");
-  plr_drain (w.pooler, false, w.now_us);
+  EXPECT_EQ (plr_count_sessions (w.pooler), 0u);
+  Caller *late = w.Open ("fresh");
+  w.Ask (late, STM_BEGIN);
+  EXPECT_EQ (w.Ask (late, STM_WRITE, nullptr, "a 1"), "ok");
+  plr_drain (w.pooler, PLR_DRAIN_ALL, w.now_us);
+  EXPECT_EQ (w.Ask (late, STM_COMMIT), "aborted");
   EXPECT_EQ (plr_count_sessions (w.pooler), 0u);
   ExpectNoBreach (w);
 }
