--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -268,7 +268,7 @@
 {
   bool first = i->svc->n_samples == 0;
 
-  if (svc_note_lead (i, asked_us, position, now_us))
+  if (svc_note_lead (i, asked_us, position))
     {
       ctr_add (p->o.counters, CTR_LEADER_CHANGES, 1);
       EV (p->o.log, now_us, EV_LEADER, EV_TEXT ("service", i->svc->name),
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -7,11 +7,10 @@
 #define WAITING_MAX 512
 
 struct plr *
-plr_new (const struct plr_options *options, int64_t now_us)
+plr_new (const struct plr_options *options)
 {
   struct plr *p = g_new0 (struct plr, 1);
 
-  (void)now_us;
   p->o = *options;
   p->services = g_hash_table_new (g_str_hash, g_str_equal);
   p->shapes = ses_shapes_new ();
@@ -22,7 +21,6 @@
   p->bad_homes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->directory_reachable = true;
-  p->random = options->seed;
   return p;
 }
 
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -35,7 +35,6 @@
   const char *vm;
   const char *data_centre;
   GHashTable *regions; /* data centre -> region, borrowed */
-  uint64_t seed;       /* of jitter */
   int64_t leave_us;    /* a leaving primary may lead on for so long */
 };
 
@@ -46,7 +45,7 @@
 
 struct plr;
 
-struct plr *plr_new (const struct plr_options *options, int64_t now_us);
+struct plr *plr_new (const struct plr_options *options);
 void plr_free (struct plr *p);
 
 /* Directory.  */
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -1,7 +1,7 @@
 /* Internals of the pooler, shared by its parts: pooler.c (sessions and
-   statements), poolrun.c (placing and sending), poolend.c (answers and
-   losses), poolwatch.c (probes, time limits, directory).  Calls go from the
-   first to the last of: pooler, poolwatch, poolend, poolrun.  */
+   statements), pooldir.c (configuration and instances), poolwatch.c (probes
+   and time limits), poolrelay.c (statements of other proxies), poolend.c
+   (answers and losses), poolrun.c (placing and sending).  */
 #ifndef CB_POOLERINT_H
 #define CB_POOLERINT_H
 
@@ -21,7 +21,6 @@
   GHashTable *bad_homes; /* name -> int64_t *, not used before */
   bool directory_reachable;
   enum plr_drain drain;
-  uint64_t random;
   plr_yield_fn *starved; /* NULL: nobody to ask */
   void *starved_arg;
 };
@@ -90,6 +89,9 @@
 
 /* poolwatch.c */
 
+/* Drops the connections of I; ALL: also those in use.  */
+void plr_drop_links (struct plr *p, struct svc_instance *i, bool all,
+                     int64_t now_us);
 /* Makes sure that the primary of S is being looked for.  */
 void plr_seek_leader (struct plr *p, struct svc *s, int64_t now_us);
 
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -1,12 +1,8 @@
-/* Probes of instances, time limits, idle connections and the directory.  */
+/* Probes of instances, time limits and idle connections.  */
 #include "poolerint.h"
 
 #include <string.h>
 
-/* Round trips assumed before one was measured.  */
-#define NEAR_US 1000
-#define REGION_US 3000
-#define FAR_US 20000
 /* A service that no session used for so long is left alone.  */
 #define WANTED_US 10000000
 /* A proof of the lead is renewed at this age: half of the least that reads
@@ -48,26 +44,9 @@
 #define WORK_REST_US 15000
 #define WORK_DRIFT 32
 
-typedef void visit_fn (struct plr *p, struct svc_instance *i, int64_t now_us);
-
-static int64_t
-first_round_trip_us (const struct plr *p, const char *data_centre)
-{
-  const char *own_region;
-  const char *region;
-
-  if (strcmp (data_centre, p->o.data_centre) == 0)
-    return NEAR_US;
-  own_region = g_hash_table_lookup (p->o.regions, p->o.data_centre);
-  region = g_hash_table_lookup (p->o.regions, data_centre);
-  if (own_region && region && strcmp (own_region, region) == 0)
-    return REGION_US;
-  return FAR_US;
-}
-
-/* Drops the connections of I; ALL: also those in use.  */
-static void
-drop_links (struct plr *p, struct svc_instance *i, bool all, int64_t now_us)
+void
+plr_drop_links (struct plr *p, struct svc_instance *i, bool all,
+                int64_t now_us)
 {
   for (guint n = i->links->len; n > 0; n--)
     {
@@ -117,7 +96,7 @@
         plr_blame_home (p, link, now_us);
     }
   move_reads (p, i, now_us);
-  drop_links (p, i, false, now_us);
+  plr_drop_links (p, i, false, now_us);
   i->question_us = 0;
   i->open_after_us = now_us + SILENT_US;
   if (i->svc->leader == i)
@@ -292,7 +271,7 @@
   if (i->dark || svc_is_usable (i, now_us)
       || (i->svc->leader == i && svc_may_lead_on (i, now_us)))
     return;
-  drop_links (p, i, false, now_us);
+  plr_drop_links (p, i, false, now_us);
 }
 
 void
@@ -506,175 +485,3 @@
   ul_ask (link, UL_STEP_DOWN, nowhere, &ask, NULL, now_us);
   return true;
 }
-
-/* Directory.  */
-
-bool
-plr_configure (struct plr *p, struct dir_config *config, int64_t now_us)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  if (config->version <= plr_version (p))
-    {
-      ctr_add (p->o.counters, CTR_CONFIG_STALE, 1);
-      dir_config_free (config);
-      return false;
-    }
-  EV (p->o.log, now_us, EV_CONFIG,
-      EV_INT ("version", (int64_t)config->version),
-      EV_INT ("before", (int64_t)plr_version (p)),
-      EV_INT ("routes", g_hash_table_size (config->routes)),
-      EV_INT ("services", g_hash_table_size (config->services)));
-  ctr_add (p->o.counters, CTR_CONFIG_ADOPTED, 1);
-  dir_config_free (p->config);
-  p->config = config;
-  g_hash_table_iter_init (&iter, config->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct dir_service *d = value;
-      struct svc *s = plr_service (p, d->name);
-
-      if (s->connections_max != d->connections_max)
-        p->vms.generation++;
-      s->connections_max = d->connections_max;
-      s->sync = d->sync;
-    }
-  return true;
-}
-
-static void
-log_instance (struct plr *p, const struct dir_instance *d, const char *what,
-              int64_t now_us)
-{
-  EV (p->o.log, now_us, EV_INSTANCE, EV_TEXT ("service", d->service),
-      EV_TEXT ("instance", d->id), EV_TEXT ("what", what),
-      EV_TEXT ("role", d->says_primary ? "primary" : "replica"),
-      EV_TEXT ("state", d->draining ? "draining" : "ready"));
-}
-
-/* A first listing, or the same id at another place: a new process.  */
-static struct svc_instance *
-renew_instance (struct plr *p, struct svc *s, const struct dir_instance *d,
-                int64_t now_us)
-{
-  struct svc_instance *i = svc_find (s, d->id);
-
-  if (i && dir_instance_same_place (i->entry, d))
-    return i;
-  if (i)
-    {
-      drop_links (p, i, true, now_us);
-      plr_bury (p);
-      svc_remove (s, i);
-    }
-  i = svc_add (s, d);
-  i->round_trip_us = first_round_trip_us (p, d->data_centre);
-  log_instance (p, d, "listed", now_us);
-  return i;
-}
-
-void
-plr_list_instance (struct plr *p, const struct dir_instance *instance,
-                   int64_t now_us)
-{
-  struct svc *s = plr_service (p, instance->service);
-  struct svc_instance *i = renew_instance (p, s, instance, now_us);
-  bool changed = i->entry->draining != instance->draining
-                 || i->entry->says_primary != instance->says_primary
-                 || i->missing_since_us > 0;
-
-  i->missing_since_us = 0;
-  if (changed)
-    log_instance (p, instance, "changed", now_us);
-  dir_instance_free (i->entry);
-  i->entry = dir_instance_copy (instance);
-  if (!instance->draining)
-    i->draining_since_us = 0;
-  else if (i->draining_since_us == 0)
-    i->draining_since_us = now_us;
-  if (!s->leader && instance->says_primary)
-    s->probed_us = 0;
-  if (changed)
-    plr_pump (p, s, now_us);
-}
-
-static void
-mark_missing (struct plr *p, struct svc_instance *i, int64_t now_us)
-{
-  if (i->missing_since_us > 0)
-    return;
-  i->missing_since_us = now_us;
-  log_instance (p, i->entry, "missing", now_us);
-}
-
-void
-plr_unlist_instance (struct plr *p, const char *id, int64_t now_us)
-{
-  GHashTableIter iter;
-  gpointer service;
-
-  g_hash_table_iter_init (&iter, p->services);
-  while (g_hash_table_iter_next (&iter, NULL, &service))
-    {
-      struct svc_instance *i = svc_find (service, id);
-
-      if (i)
-        mark_missing (p, i, now_us);
-    }
-}
-
-static void
-for_each_instance (struct plr *p, visit_fn *visit, int64_t now_us)
-{
-  GHashTableIter iter;
-  gpointer service;
-
-  g_hash_table_iter_init (&iter, p->services);
-  while (g_hash_table_iter_next (&iter, NULL, &service))
-    {
-      struct svc *s = service;
-
-      for (guint n = 0; n < s->instances->len; n++)
-        visit (p, g_ptr_array_index (s->instances, n), now_us);
-    }
-}
-
-void
-plr_end_listing (struct plr *p, GHashTable *listed_ids, int64_t now_us)
-{
-  GHashTableIter iter;
-  gpointer service;
-
-  g_hash_table_iter_init (&iter, p->services);
-  while (g_hash_table_iter_next (&iter, NULL, &service))
-    {
-      struct svc *s = service;
-
-      for (guint n = 0; n < s->instances->len; n++)
-        {
-          struct svc_instance *i = g_ptr_array_index (s->instances, n);
-
-          if (!g_hash_table_contains (listed_ids, i->entry->id))
-            mark_missing (p, i, now_us);
-        }
-    }
-}
-
-/* The time of missing counts from the return of the directory.  */
-static void
-restart_missing (struct plr *p, struct svc_instance *i, int64_t now_us)
-{
-  (void)p;
-  if (i->missing_since_us > 0)
-    i->missing_since_us = now_us;
-}
-
-void
-plr_directory_state (struct plr *p, bool reachable, int64_t now_us)
-{
-  if (reachable == p->directory_reachable && reachable)
-    return;
-  p->directory_reachable = reachable;
-  for_each_instance (p, restart_missing, now_us);
-}
--- a/packages/core/svc.c
+++ b/packages/core/svc.c
@@ -106,7 +106,7 @@
 
 bool
 svc_note_lead (struct svc_instance *instance, int64_t asked_us,
-               struct lp position, int64_t now_us)
+               struct lp position)
 {
   struct svc *s = instance->svc;
   bool changed = s->leader != instance;
@@ -128,7 +128,6 @@
   if (lp_is_known (position))
     add_sample (s, asked_us, position);
   svc_note_position (instance, position);
-  (void)now_us;
   return changed;
 }
 
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -97,7 +97,7 @@
 /* INSTANCE led at some moment after ASKED_US, with its log at POSITION.
    Returns true when this changed who leads.  */
 bool svc_note_lead (struct svc_instance *instance, int64_t asked_us,
-                    struct lp position, int64_t now_us);
+                    struct lp position);
 /* INSTANCE said that it doesn't lead.  Returns true when it was thought to. */
 bool svc_note_denied (struct svc_instance *instance, int64_t now_us);
 /* INSTANCE showed POSITION.  */
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -521,7 +521,7 @@
       return NULL;
     }
   g->relay_listener.relay = true;
-  g->pooler = plr_new (&g->o.pooler, loop_now_us ());
+  g->pooler = plr_new (&g->o.pooler);
   return g;
 }
 
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -332,7 +332,7 @@
   o.data_centre = "a";
   o.regions = regions;
   o.leave_us = 5000000;
-  pooler = plr_new (&o, now_us);
+  pooler = plr_new (&o);
   so.pooler = pooler;
   so.port = &duty_port.port;
   so.counters = counters;
