--- a/Makefile
+++ b/Makefile
@@ -106,8 +106,8 @@
 	BUILD=$(BUILD) SEEDS=$(SEEDS) SECONDS_EACH=$(or $(SECONDS_EACH),30) \
 	  PROXIES=$(or $(PROXIES),4) bash tests/soak/run.sh
 
-# Three proxies on the platform's stand-ins: callers are served, a primary goes
-# dark, and what they saw is shown, a line a second.
+# Three proxies on the platform's stand-ins: callers are served, a primary stops
+# answering, and what they saw is shown, a line a second.
 demo-platform: build
 	$(BUILD)/tests/soak --demo --proxies 3 --seconds 30 --dir $(BUILD)/demo \
 	  --program $(BUILD)/packages/proxy/cassiabayd
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -21,7 +21,16 @@
   int64_t number;
 };
 
-#define EV_TEXT(k, v) ((struct ev_field){ (k), (v) ? (v) : "", 0 })
+/* A NULL text is written as an empty one.  */
+static inline struct ev_field
+ev_text_field (const char *key, const char *text)
+{
+  struct ev_field f = { key, text ? text : "", 0 };
+
+  return f;
+}
+
+#define EV_TEXT(k, v) ev_text_field ((k), (v))
 #define EV_INT(k, v) ((struct ev_field){ (k), NULL, (v) })
 
 /* Takes one line with its newline.  Returns false when it was dropped.  */
--- a/packages/core/pooldir.c
+++ b/packages/core/pooldir.c
@@ -81,7 +81,7 @@
   if (i)
     {
       plr_drop_links (p, i, true, now_us);
-      plr_bury (p);
+      plr_free_dropped (p);
       svc_remove (s, i);
     }
   i = svc_add (s, d);
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -379,9 +379,9 @@
   i->heard_us = now_us;
   i->question_us = 0;
   i->refused_us = 0;
-  if (!i->dark)
+  if (!i->unresponsive)
     return;
-  i->dark = false;
+  i->unresponsive = false;
   EV (p->o.log, now_us, EV_INSTANCE_BACK, EV_TEXT ("service", i->svc->name),
       EV_TEXT ("instance", i->entry->id));
 }
@@ -452,7 +452,7 @@
                  int64_t now_us)
 {
   take_answer (p, link, end, now_us);
-  plr_bury (p);
+  plr_free_dropped (p);
 }
 
 void
@@ -468,12 +468,12 @@
   /* A home's greeting says nothing of the instance.  */
   if (!link->home)
     note_heard (p, i, now_us);
-  else if (i->dark || i->refused_us > 0)
+  else if (i->unresponsive || i->refused_us > 0)
     plr_probe (p, link, false, now_us);
   if (lp_is_known (position))
     svc_note_position (i, position);
   plr_settle (p, link, now_us);
-  plr_bury (p);
+  plr_free_dropped (p);
 }
 
 static void
@@ -496,7 +496,7 @@
   if (link->home)
     {
       /* The home can't reach the instance, or is no home of it any more.  */
-      plr_blame_home (p, link, now_us);
+      plr_note_home_failed (p, link, now_us);
       if (i->refused_us == 0)
         i->refused_us = now_us;
     }
@@ -516,7 +516,7 @@
   if (code == SQC_WRONG_INSTANCE && i->refused_us == 0)
     i->refused_us = now_us;
   plr_drop_link (p, link, now_us);
-  plr_bury (p);
+  plr_free_dropped (p);
 }
 
 void
@@ -535,13 +535,13 @@
       back_off (i, now_us);
     }
   if (link->home)
-    plr_blame_home (p, link, now_us);
+    plr_note_home_failed (p, link, now_us);
   else if (refused && i->refused_us == 0)
     i->refused_us = now_us;
   if (refused)
     i->question_us = 0;
   plr_drop_link (p, link, now_us);
-  plr_bury (p);
+  plr_free_dropped (p);
 }
 
 /* The connection that S holds is gone.  */
@@ -589,18 +589,18 @@
     i->n_opening--;
   /* Out of the way first: nobody may be placed on it again.  */
   ul_close (link);
-  g_ptr_array_add (p->dead, link);
+  g_ptr_array_add (p->dropped, link);
   if (s)
     lose (p, s, now_us);
 }
 
 void
-plr_bury (struct plr *p)
+plr_free_dropped (struct plr *p)
 {
-  while (p->dead->len > 0)
+  while (p->dropped->len > 0)
     {
-      ul_free (g_ptr_array_index (p->dead, p->dead->len - 1));
-      g_ptr_array_set_size (p->dead, (gint)p->dead->len - 1);
+      ul_free (g_ptr_array_index (p->dropped, p->dropped->len - 1));
+      g_ptr_array_set_size (p->dropped, (gint)p->dropped->len - 1);
     }
 }
 
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -16,9 +16,9 @@
   p->shapes = ses_shapes_new ();
   g_queue_init (&p->sessions);
   g_queue_init (&p->active);
-  p->dead = g_ptr_array_new ();
+  p->dropped = g_ptr_array_new ();
   rly_init (&p->vms, options->vm, options->regions);
-  p->bad_homes
+  p->failed_homes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->directory_reachable = true;
   return p;
@@ -43,7 +43,7 @@
   GHashTableIter iter;
   gpointer service;
 
-  plr_bury (p);
+  plr_free_dropped (p);
   while (p->sessions.head)
     {
       struct ses *s = p->sessions.head->data;
@@ -56,11 +56,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &service))
     free_service (service);
   g_hash_table_destroy (p->services);
-  g_ptr_array_free (p->dead, TRUE);
+  g_ptr_array_free (p->dropped, TRUE);
   dir_config_free (p->config);
   ses_shapes_free (p->shapes);
   rly_free (&p->vms);
-  g_hash_table_destroy (p->bad_homes);
+  g_hash_table_destroy (p->failed_homes);
   g_free (p);
 }
 
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -14,11 +14,11 @@
   struct dir_config *config;
   GHashTable *services; /* name -> struct svc * */
   struct ses_shapes *shapes;
-  GQueue sessions; /* struct ses * */
-  GQueue active;   /* those with a statement under way */
-  GPtrArray *dead; /* links to free, struct ul * */
+  GQueue sessions;    /* struct ses * */
+  GQueue active;      /* those with a statement under way */
+  GPtrArray *dropped; /* links to free, struct ul * */
   struct rly_table vms;
-  GHashTable *bad_homes; /* name -> int64_t *, not used before */
+  GHashTable *failed_homes; /* name -> int64_t *, not used before */
   bool directory_reachable;
   enum plr_drain drain;
   plr_yield_fn *starved; /* NULL: nobody to ask */
@@ -39,7 +39,8 @@
 /* Brings homes and limits of the instances of S up to date.  */
 void plr_update_homes (struct plr *p, struct svc *s);
 /* The home that LINK goes through failed.  */
-void plr_blame_home (struct plr *p, const struct ul *link, int64_t now_us);
+void plr_note_home_failed (struct plr *p, const struct ul *link,
+                           int64_t now_us);
 /* True when this proxy has more connections to I than its share.  */
 bool plr_has_surplus (const struct svc_instance *i);
 /* Takes the connection from S; what it still owes is dropped.  */
@@ -61,10 +62,10 @@
 void plr_retry (struct plr *p, struct ses *s, enum rsn_retry why,
                 int64_t delay_us, int64_t now_us);
 /* Everything under way on LINK is lost; closes it.  The memory is freed by
-   plr_bury, so that callers may still look at it.  */
+   plr_free_dropped, so that callers may still look at it.  */
 void plr_drop_link (struct plr *p, struct ul *link, int64_t now_us);
 /* Frees the links that were dropped; the last act of every event.  */
-void plr_bury (struct plr *p);
+void plr_free_dropped (struct plr *p);
 /* The statement of S got no answer in time.  */
 void plr_expire (struct plr *p, struct ses *s, int64_t now_us);
 /* The answer to the statement of S, which may run again or can be taken back,
--- a/packages/core/poolrelay.c
+++ b/packages/core/poolrelay.c
@@ -18,7 +18,8 @@
   if (!i)
     return NULL;
   plr_update_homes (p, svc);
-  if (i->dark || i->refused_us > 0 || !(i->homes.direct || i->homes.own))
+  if (i->unresponsive || i->refused_us > 0
+      || !(i->homes.direct || i->homes.own))
     return NULL;
   s = ses_new (tag, service, now_us);
   s->relay_to = g_strdup (instance);
@@ -116,7 +117,7 @@
       return;
     }
   plr_wait (s);
-  if (!i || i->dark)
+  if (!i || i->unresponsive)
     return; /* its time runs out, or the instance comes back */
   choice = plc_choose_at (i, now_us);
   if (choice.verdict == PLC_OPEN && i->n_opening < 2)
@@ -134,7 +135,7 @@
   struct svc_instance *i = target_of (p, s);
   struct stm_end end;
 
-  if (!i || (i->dark && !s->link))
+  if (!i || (i->unresponsive && !s->link))
     {
       hang_up (p, s);
       return;
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -8,7 +8,7 @@
 /* After so many copies that lacked the position the primary is asked.  */
 #define BEHIND_TRIES 2
 /* A home that failed is not gone through for so long.  */
-#define BAD_HOME_US 1500000
+#define FAILED_HOME_US 1500000
 
 static const struct lp nowhere;
 
@@ -63,23 +63,23 @@
 }
 
 static bool
-is_bad_home (const struct plr *p, const struct rly_vm *vm, int64_t now_us)
+is_failed_home (const struct plr *p, const struct rly_vm *vm, int64_t now_us)
 {
-  const int64_t *until_us = g_hash_table_lookup (p->bad_homes, vm->name);
+  const int64_t *until_us = g_hash_table_lookup (p->failed_homes, vm->name);
 
   return until_us && now_us < *until_us;
 }
 
 void
-plr_blame_home (struct plr *p, const struct ul *link, int64_t now_us)
+plr_note_home_failed (struct plr *p, const struct ul *link, int64_t now_us)
 {
   int64_t *until_us;
 
   if (!link->home)
     return;
   until_us = g_new (int64_t, 1);
-  *until_us = now_us + BAD_HOME_US;
-  g_hash_table_replace (p->bad_homes, g_strdup (link->home), until_us);
+  *until_us = now_us + FAILED_HOME_US;
+  g_hash_table_replace (p->failed_homes, g_strdup (link->home), until_us);
   EV (p->o.log, now_us, EV_PEER, EV_TEXT ("peer", link->home),
       EV_TEXT ("what", "no help as a home"),
       EV_TEXT ("instance", link->instance->entry->id));
@@ -92,7 +92,7 @@
   const struct rly_vm *vm
       = now_us < i->detour_until_us ? rly_get (&p->vms, i->helper) : NULL;
 
-  return vm && !is_bad_home (p, vm, now_us) ? vm : NULL;
+  return vm && !is_failed_home (p, vm, now_us) ? vm : NULL;
 }
 
 /* The home to go through: each proxy has its own order of them.  */
@@ -112,7 +112,7 @@
     {
       const struct rly_vm *vm = h->vms[(first + k) % h->n];
 
-      if (!is_bad_home (p, vm, now_us))
+      if (!is_failed_home (p, vm, now_us))
         return vm;
     }
   return h->vms[first % h->n];
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -16,11 +16,11 @@
 /* An instance that owes answers and says nothing for so long is asked a
    question that needs no slot.  */
 #define SILENT_US 250000
-/* No answer to such a question for so long: dark.  Several losses of a packet
-   on the longest link.  */
-#define DARK_US 700000
+/* No answer to such a question for so long: unresponsive.  Several losses of a
+   packet on the longest link.  */
+#define UNRESPONSIVE_US 700000
 /* Nor to a new connection, whose handshake may queue for a slot.  */
-#define DARK_OPEN_US 1000000
+#define UNRESPONSIVE_OPEN_US 1000000
 /* How often, and from which wait on, waiting is logged.  */
 #define PRESSURE_EVERY_US 1000000
 #define PRESSURE_WAIT_US 100000
@@ -36,7 +36,7 @@
 /* Within the share, all but one to the primary are closed after.  */
 #define SPARE_REST_US 2000000
 /* Others are asked to give a connection back this often.  */
-#define BEG_EVERY_US 100000
+#define YIELD_ASK_EVERY_US 100000
 /* An instance not listed any more is forgotten after this time.  */
 #define FORGET_US 20000000
 /* The smoothed work time of an instance that isn't used drifts back to the
@@ -74,26 +74,26 @@
       next = l->next;
       if (s->link && s->link->instance == i && !s->writes && !s->relay_to
           && !s->work.transaction)
-        plr_retry (p, s, RETRY_INSTANCE_DARK, 0, now_us);
+        plr_retry (p, s, RETRY_INSTANCE_UNRESPONSIVE, 0, now_us);
     }
 }
 
 static void
-turn_dark (struct plr *p, struct svc_instance *i, int64_t now_us)
+mark_unresponsive (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
-  if (!i->dark)
-    EV (p->o.log, now_us, EV_INSTANCE_DARK, EV_TEXT ("service", i->svc->name),
-        EV_TEXT ("instance", i->entry->id),
+  if (!i->unresponsive)
+    EV (p->o.log, now_us, EV_INSTANCE_UNRESPONSIVE,
+        EV_TEXT ("service", i->svc->name), EV_TEXT ("instance", i->entry->id),
         EV_INT ("asked_us", now_us - i->question_us),
         EV_INT ("heard_us", now_us - i->heard_us),
         EV_INT ("links", i->links->len));
-  i->dark = true;
+  i->unresponsive = true;
   for (guint n = 0; n < i->links->len; n++)
     {
       const struct ul *link = g_ptr_array_index (i->links, n);
 
       if (link->questions->len > 0 || link->phase == UL_OPENING)
-        plr_blame_home (p, link, now_us);
+        plr_note_home_failed (p, link, now_us);
     }
   move_reads (p, i, now_us);
   plr_drop_links (p, i, false, now_us);
@@ -136,13 +136,13 @@
 static void
 watch_life (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
-  int64_t limit_us = i->n_opening > 0 ? DARK_OPEN_US : DARK_US;
+  int64_t limit_us = i->n_opening > 0 ? UNRESPONSIVE_OPEN_US : UNRESPONSIVE_US;
 
   if (i->question_us > 0 && now_us - i->question_us > limit_us)
-    turn_dark (p, i, now_us);
-  else if (i->question_us == 0 && !i->dark && owes_answers (i, now_us))
+    mark_unresponsive (p, i, now_us);
+  else if (i->question_us == 0 && !i->unresponsive && owes_answers (i, now_us))
     ask_life (p, i, false, now_us);
-  else if ((i->dark || i->refused_us > 0) && i->n_opening == 0
+  else if ((i->unresponsive || i->refused_us > 0) && i->n_opening == 0
            && i->missing_since_us == 0 && now_us >= i->open_after_us)
     plr_open_link (p, i, now_us);
 }
@@ -162,7 +162,8 @@
       link = g_ptr_array_index (i->links, n - 1);
       asked_us
           = link->phase == UL_OPENING ? link->opened_us : ul_oldest_us (link);
-      if (link->session || asked_us == 0 || now_us - asked_us < DARK_OPEN_US)
+      if (link->session || asked_us == 0
+          || now_us - asked_us < UNRESPONSIVE_OPEN_US)
         continue;
       ctr_add (p->o.counters, CTR_CONNECTION_SILENT, 1);
       plr_drop_link (p, link, now_us);
@@ -204,12 +205,12 @@
 
 /* An instance that is full, without a single connection of this proxy.  */
 static void
-beg (struct plr *p, struct svc_instance *i, int64_t now_us)
+ask_for_yield (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
   if (i->starved_us == 0 || !p->starved
-      || now_us - i->begged_us < BEG_EVERY_US)
+      || now_us - i->yield_asked_us < YIELD_ASK_EVERY_US)
     return;
-  i->begged_us = now_us;
+  i->yield_asked_us = now_us;
   p->starved (p->starved_arg, i->svc->name, i->entry->id);
 }
 
@@ -227,7 +228,8 @@
   struct svc *s = g_hash_table_lookup (p->services, service);
   struct svc_instance *i = s ? svc_find (s, instance) : NULL;
 
-  if (!i || !(i->dark || i->refused_us > 0) || now_us < i->detour_until_us)
+  if (!i || !(i->unresponsive || i->refused_us > 0)
+      || now_us < i->detour_until_us)
     return;
   EV (p->o.log, now_us, EV_INSTANCE, EV_TEXT ("service", service),
       EV_TEXT ("instance", instance), EV_TEXT ("what", "detour"),
@@ -268,7 +270,7 @@
 static void
 leave_unusable (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
-  if (i->dark || svc_is_usable (i, now_us)
+  if (i->unresponsive || svc_is_usable (i, now_us)
       || (i->svc->leader == i && svc_may_lead_on (i, now_us)))
     return;
   plr_drop_links (p, i, false, now_us);
@@ -284,7 +286,7 @@
     {
       struct svc_instance *i = g_ptr_array_index (s->instances, n);
 
-      if (i->question_us == 0 && !i->dark
+      if (i->question_us == 0 && !i->unresponsive
           && (i->missing_since_us == 0 || svc_is_lapsed (i, now_us)))
         ask_life (p, i, true, now_us);
     }
@@ -319,7 +321,7 @@
   leave_unusable (p, i, now_us);
   drop_silent_links (p, i, now_us);
   trim_links (p, i, now_us);
-  beg (p, i, now_us);
+  ask_for_yield (p, i, now_us);
   drift_work (i);
 }
 
@@ -346,7 +348,7 @@
           EV_INT ("in_use", i->n_in_use), EV_INT ("work_us", i->work_us),
           EV_INT ("round_trip_us", i->round_trip_us),
           EV_INT ("open_in_us", MAX (i->open_after_us - now_us, 0)),
-          EV_INT ("dark", i->dark),
+          EV_INT ("unresponsive", i->unresponsive),
           EV_INT ("proof_us", i->led_us > 0 ? now_us - i->led_us : -1));
     }
 }
@@ -444,7 +446,7 @@
   g_hash_table_iter_init (&iter, p->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
     watch_service (p, service, now_us);
-  plr_bury (p);
+  plr_free_dropped (p);
 }
 
 void
--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -54,7 +54,7 @@
 };
 
 /* The succession of one service.  */
-struct seat
+struct suc_service
 {
   struct suc *suc;
   struct svc *svc;
@@ -78,18 +78,18 @@
 struct suc
 {
   struct suc_options o;
-  GHashTable *seats; /* service -> struct seat * */
+  GHashTable *services; /* service -> struct suc_service * */
   int64_t started_us;
 };
 
 static void
-free_seat (gpointer data)
+free_service (gpointer data)
 {
-  struct seat *seat = data;
+  struct suc_service *sv = data;
 
-  g_free (seat->primary);
-  g_free (seat->target);
-  g_free (seat);
+  g_free (sv->primary);
+  g_free (sv->target);
+  g_free (sv);
 }
 
 struct suc *
@@ -98,8 +98,8 @@
   struct suc *s = g_new0 (struct suc, 1);
 
   s->o = *options;
-  s->seats
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_seat);
+  s->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_service);
   return s;
 }
 
@@ -108,51 +108,49 @@
 {
   if (!s)
     return;
-  g_hash_table_destroy (s->seats);
+  g_hash_table_destroy (s->services);
   g_free (s);
 }
 
-static struct seat *
-seat_of (struct suc *s, const char *service)
+static struct suc_service *
+service_of (struct suc *s, const char *service)
 {
-  struct seat *seat = g_hash_table_lookup (s->seats, service);
+  struct suc_service *sv = g_hash_table_lookup (s->services, service);
 
-  if (!seat)
+  if (!sv)
     {
-      seat = g_new0 (struct seat, 1);
-      seat->suc = s;
-      g_hash_table_insert (s->seats, g_strdup (service), seat);
+      sv = g_new0 (struct suc_service, 1);
+      sv->suc = s;
+      g_hash_table_insert (s->services, g_strdup (service), sv);
     }
-  if (!seat->svc)
-    seat->svc = g_hash_table_lookup (plr_services (s->o.pooler), service);
-  return seat;
+  if (!sv->svc)
+    sv->svc = g_hash_table_lookup (plr_services (s->o.pooler), service);
+  return sv;
 }
 
 static void
-enter (struct seat *seat, enum state state, int64_t now_us)
+enter (struct suc_service *sv, enum state state, int64_t now_us)
 {
-  seat->state = state;
-  seat->since_us = now_us;
+  sv->state = state;
+  sv->since_us = now_us;
 }
 
 static void
-calm_down (struct seat *seat, int64_t pause_us, int64_t now_us)
+calm_down (struct suc_service *sv, int64_t pause_us, int64_t now_us)
 {
-  enter (seat, CALM, now_us);
-  seat->not_before_us = now_us + pause_us;
+  enter (sv, CALM, now_us);
+  sv->not_before_us = now_us + pause_us;
 }
 
 static void
-log_judgement (struct seat *seat, const char *what, int64_t now_us)
+log_judgement (struct suc_service *sv, const char *what, int64_t now_us)
 {
-  EV (seat->suc->o.log, now_us, EV_JUDGEMENT,
-      EV_TEXT ("service", seat->svc->name), EV_TEXT ("primary", seat->primary),
-      EV_TEXT ("what", what), EV_TEXT ("cause", seat->cause),
-      EV_INT ("reached", seat->votes.reached),
-      EV_INT ("missed", seat->votes.missed),
-      EV_INT ("voted", seat->votes.voted),
-      EV_INT ("proxies", seat->votes.proxies),
-      EV_INT ("claim", (int64_t)seat->claim));
+  EV (sv->suc->o.log, now_us, EV_JUDGEMENT, EV_TEXT ("service", sv->svc->name),
+      EV_TEXT ("primary", sv->primary), EV_TEXT ("what", what),
+      EV_TEXT ("cause", sv->cause), EV_INT ("reached", sv->votes.reached),
+      EV_INT ("missed", sv->votes.missed), EV_INT ("voted", sv->votes.voted),
+      EV_INT ("proxies", sv->votes.proxies),
+      EV_INT ("claim", (int64_t)sv->claim));
 }
 
 /* Evidence.  */
@@ -168,23 +166,23 @@
 /* The instance that leads, or should: the last one proved, else the one that
    the directory calls primary.  */
 static struct svc_instance *
-primary_of (struct seat *seat)
+primary_of (struct suc_service *sv)
 {
-  struct svc *svc = seat->svc;
+  struct svc *svc = sv->svc;
   struct svc_instance *listed = NULL;
 
   if (svc->leader)
     {
-      if (g_strcmp0 (seat->primary, svc->leader->entry->id) != 0)
+      if (g_strcmp0 (sv->primary, svc->leader->entry->id) != 0)
         {
-          g_free (seat->primary);
-          seat->primary = g_strdup (svc->leader->entry->id);
+          g_free (sv->primary);
+          sv->primary = g_strdup (svc->leader->entry->id);
         }
       return svc->leader;
     }
-  if (seat->primary)
+  if (sv->primary)
     {
-      struct svc_instance *last = svc_find (svc, seat->primary);
+      struct svc_instance *last = svc_find (svc, sv->primary);
 
       if (last)
         return last;
@@ -198,16 +196,17 @@
     }
   if (listed)
     {
-      g_free (seat->primary);
-      seat->primary = g_strdup (listed->entry->id);
+      g_free (sv->primary);
+      sv->primary = g_strdup (listed->entry->id);
     }
   return listed;
 }
 
 static struct suc_evidence
-gather (struct seat *seat, const struct svc_instance *primary, int64_t now_us)
+gather (struct suc_service *sv, const struct svc_instance *primary,
+        int64_t now_us)
 {
-  struct svc *svc = seat->svc;
+  struct svc *svc = sv->svc;
   struct suc_evidence e = { 0 };
 
   for (guint n = 0; n < svc->instances->len; n++)
@@ -225,7 +224,7 @@
   e.listed = primary->missing_since_us == 0 || svc_is_lapsed (primary, now_us);
   e.lapsed = primary->missing_since_us > 0;
   e.draining = primary->entry->draining;
-  e.dark = primary->dark;
+  e.unresponsive = primary->unresponsive;
   e.refused_us = primary->refused_us > 0 ? now_us - primary->refused_us : 0;
   e.denied = !e.proved && primary->denied_us > primary->led_us
              && primary->heard_us > 0 && now_us - primary->heard_us < HEARD_US;
@@ -240,9 +239,9 @@
   if (!e->known)
     return e->leaderless_us > UNKNOWN_US ? SUC_REPLACE : SUC_KEEP;
   if (e->draining || !e->listed
-      || (e->lapsed && (e->dark || e->refused_us > 0)))
+      || (e->lapsed && (e->unresponsive || e->refused_us > 0)))
     return SUC_REPLACE;
-  if (e->dark || e->refused_us > REFUSED_US)
+  if (e->unresponsive || e->refused_us > REFUSED_US)
     return SUC_ASK;
   if (e->denied && e->leaderless_us > LEADERLESS_US)
     return SUC_REPLACE;
@@ -258,8 +257,8 @@
     return "draining";
   if (!e->listed)
     return "unlisted";
-  if (e->dark)
-    return "dark";
+  if (e->unresponsive)
+    return "unresponsive";
   if (e->refused_us > REFUSED_US)
     return "refused";
   return "denied";
@@ -322,190 +321,187 @@
 /* Whose turn it is: the holder of the claim first, then by rank; nobody while
    another one has just claimed.  */
 static bool
-is_turn (struct seat *seat, GHashTable *vms, int64_t now_us)
+is_turn (struct suc_service *sv, GHashTable *vms, int64_t now_us)
 {
   uint32_t rank
-      = seat->claim_is_own ? 0 : 1 + rank_of (seat->suc, seat->svc->name, vms);
+      = sv->claim_is_own ? 0 : 1 + rank_of (sv->suc, sv->svc->name, vms);
 
-  if (seat->claim > 0 && !seat->claim_is_own
-      && now_us - seat->claim_us < OTHERS_US)
+  if (sv->claim > 0 && !sv->claim_is_own && now_us - sv->claim_us < OTHERS_US)
     return false;
-  if (seat->ready_us == 0)
-    seat->ready_us = now_us;
-  return now_us - seat->ready_us >= (int64_t)rank * RANK_US;
+  if (sv->ready_us == 0)
+    sv->ready_us = now_us;
+  return now_us - sv->ready_us >= (int64_t)rank * RANK_US;
 }
 
 static void
-survey (struct seat *seat, int64_t now_us)
+survey (struct suc_service *sv, int64_t now_us)
 {
-  if (now_us - seat->surveyed_us < SURVEY_EVERY_US)
+  if (now_us - sv->surveyed_us < SURVEY_EVERY_US)
     return;
-  seat->surveyed_us = now_us;
-  plr_ask_status (seat->suc->o.pooler, seat->svc, now_us);
+  sv->surveyed_us = now_us;
+  plr_ask_status (sv->suc->o.pooler, sv->svc, now_us);
 }
 
 static void
-start_survey (struct seat *seat, const struct suc_evidence *e, int64_t now_us)
+start_survey (struct suc_service *sv, const struct suc_evidence *e,
+              int64_t now_us)
 {
-  seat->planned = e->draining || !e->listed;
-  seat->cause = cause_of (e);
-  log_judgement (seat, "replace", now_us);
-  enter (seat, SURVEYING, now_us);
-  survey (seat, now_us);
+  sv->planned = e->draining || !e->listed;
+  sv->cause = cause_of (e);
+  log_judgement (sv, "replace", now_us);
+  enter (sv, SURVEYING, now_us);
+  survey (sv, now_us);
 }
 
 static void
-on_calm (struct seat *seat, const struct suc_evidence *e, GHashTable *vms,
+on_calm (struct suc_service *sv, const struct suc_evidence *e, GHashTable *vms,
          int64_t now_us)
 {
   enum suc_verdict verdict = suc_judge (e);
 
   if (verdict == SUC_KEEP)
-    seat->ready_us = 0;
-  if (verdict == SUC_KEEP || now_us < seat->not_before_us
-      || !is_turn (seat, vms, now_us))
+    sv->ready_us = 0;
+  if (verdict == SUC_KEEP || now_us < sv->not_before_us
+      || !is_turn (sv, vms, now_us))
     return;
   if (verdict == SUC_REPLACE)
     {
-      start_survey (seat, e, now_us);
+      start_survey (sv, e, now_us);
       return;
     }
-  seat->votes = (struct suc_votes){ 0, 1, 1, g_hash_table_size (vms) };
-  seat->cause = cause_of (e);
-  enter (seat, ASKING, now_us);
-  EV (seat->suc->o.log, now_us, EV_VOTE, EV_TEXT ("service", seat->svc->name),
-      EV_TEXT ("instance", seat->primary), EV_TEXT ("vote", "asked"),
-      EV_INT ("proxies", seat->votes.proxies));
-  seat->suc->o.port->ops->ask (seat->suc->o.port, seat->svc->name,
-                               seat->primary);
+  sv->votes = (struct suc_votes){ 0, 1, 1, g_hash_table_size (vms) };
+  sv->cause = cause_of (e);
+  enter (sv, ASKING, now_us);
+  EV (sv->suc->o.log, now_us, EV_VOTE, EV_TEXT ("service", sv->svc->name),
+      EV_TEXT ("instance", sv->primary), EV_TEXT ("vote", "asked"),
+      EV_INT ("proxies", sv->votes.proxies));
+  sv->suc->o.port->ops->ask (sv->suc->o.port, sv->svc->name, sv->primary);
 }
 
 static void
-on_asking (struct seat *seat, const struct suc_evidence *e, int64_t now_us)
+on_asking (struct suc_service *sv, const struct suc_evidence *e,
+           int64_t now_us)
 {
-  if (now_us - seat->since_us < VOTE_US
-      && seat->votes.voted < seat->votes.proxies)
+  if (now_us - sv->since_us < VOTE_US && sv->votes.voted < sv->votes.proxies)
     return;
   if (suc_judge (e) == SUC_KEEP)
-    calm_down (seat, 0, now_us);
-  else if (suc_count_votes (&seat->votes))
-    start_survey (seat, e, now_us);
+    calm_down (sv, 0, now_us);
+  else if (suc_count_votes (&sv->votes))
+    start_survey (sv, e, now_us);
   else
     {
-      ctr_add (seat->suc->o.counters, CTR_SUCCESSIONS_SPARED, 1);
-      log_judgement (seat, "spare", now_us);
-      calm_down (seat, SPARED_US, now_us);
+      ctr_add (sv->suc->o.counters, CTR_SUCCESSIONS_SPARED, 1);
+      log_judgement (sv, "spare", now_us);
+      calm_down (sv, SPARED_US, now_us);
     }
 }
 
 static void
-claim (struct seat *seat, const struct svc_instance *target, int64_t now_us)
+claim (struct suc_service *sv, const struct svc_instance *target,
+       int64_t now_us)
 {
-  struct suc *s = seat->suc;
+  struct suc *s = sv->suc;
 
-  g_free (seat->target);
-  seat->target = g_strdup (target->entry->id);
-  enter (seat, CLAIMING, now_us);
-  s->o.port->ops->claim (s->o.port, seat->svc->name, seat->claim,
-                         seat->target);
+  g_free (sv->target);
+  sv->target = g_strdup (target->entry->id);
+  enter (sv, CLAIMING, now_us);
+  s->o.port->ops->claim (s->o.port, sv->svc->name, sv->claim, sv->target);
 }
 
 static void
-on_surveying (struct seat *seat, const struct svc_instance *primary,
+on_surveying (struct suc_service *sv, const struct svc_instance *primary,
               int64_t now_us)
 {
   struct svc_instance *target;
 
-  survey (seat, now_us);
-  if (now_us - seat->since_us < SURVEY_US)
+  survey (sv, now_us);
+  if (now_us - sv->since_us < SURVEY_US)
     return;
-  target = suc_choose (seat->svc, primary, now_us);
+  target = suc_choose (sv->svc, primary, now_us);
   if (target)
-    claim (seat, target, now_us);
+    claim (sv, target, now_us);
   else
-    calm_down (seat, PAUSE_US, now_us);
+    calm_down (sv, PAUSE_US, now_us);
 }
 
 static void
-promote (struct seat *seat, int64_t now_us)
+promote (struct suc_service *sv, int64_t now_us)
 {
-  struct suc *s = seat->suc;
+  struct suc *s = sv->suc;
 
-  seat->tries++;
-  EV (s->o.log, now_us, EV_PROMOTE, EV_TEXT ("service", seat->svc->name),
-      EV_TEXT ("instance", seat->target),
-      EV_INT ("token", (int64_t)seat->token), EV_INT ("tries", seat->tries),
-      EV_TEXT ("cause", seat->cause));
+  sv->tries++;
+  EV (s->o.log, now_us, EV_PROMOTE, EV_TEXT ("service", sv->svc->name),
+      EV_TEXT ("instance", sv->target), EV_INT ("token", (int64_t)sv->token),
+      EV_INT ("tries", sv->tries), EV_TEXT ("cause", sv->cause));
   ctr_add (s->o.counters, CTR_PROMOTIONS_ORDERED, 1);
-  enter (seat, PROMOTING, now_us);
-  s->o.port->ops->promote (s->o.port, seat->svc->name, seat->target,
-                           seat->token);
+  enter (sv, PROMOTING, now_us);
+  s->o.port->ops->promote (s->o.port, sv->svc->name, sv->target, sv->token);
 }
 
 /* A primary that leaves as planned steps down first, so that the replicas can
    catch up with all it has acknowledged.  */
 static void
-on_stepping (struct seat *seat, const struct svc_instance *primary,
+on_stepping (struct suc_service *sv, const struct svc_instance *primary,
              int64_t now_us)
 {
   struct svc_instance *target;
-  bool stepped = primary && primary->denied_us >= seat->since_us;
+  bool stepped = primary && primary->denied_us >= sv->since_us;
 
-  survey (seat, now_us);
-  target = suc_choose (seat->svc, primary, now_us);
-  if (!target || now_us - seat->since_us > CATCH_UP_US
+  survey (sv, now_us);
+  target = suc_choose (sv->svc, primary, now_us);
+  if (!target || now_us - sv->since_us > CATCH_UP_US
       || (stepped
           && lp_compare (known_position (target), known_position (primary))
                  >= 0))
     {
-      if (target && strcmp (target->entry->id, seat->target) != 0)
+      if (target && strcmp (target->entry->id, sv->target) != 0)
         {
-          g_free (seat->target);
-          seat->target = g_strdup (target->entry->id);
+          g_free (sv->target);
+          sv->target = g_strdup (target->entry->id);
         }
-      promote (seat, now_us);
+      promote (sv, now_us);
     }
 }
 
 static void
-on_settling (struct seat *seat, int64_t now_us)
+on_settling (struct suc_service *sv, int64_t now_us)
 {
-  struct svc_instance *leader = seat->svc->leader;
+  struct svc_instance *leader = sv->svc->leader;
 
-  if (leader && strcmp (leader->entry->id, seat->target) == 0)
-    calm_down (seat, 0, now_us);
-  else if (now_us - seat->since_us > SETTLE_US)
-    calm_down (seat, 0, now_us);
+  if (leader && strcmp (leader->entry->id, sv->target) == 0)
+    calm_down (sv, 0, now_us);
+  else if (now_us - sv->since_us > SETTLE_US)
+    calm_down (sv, 0, now_us);
   else
-    plr_seek (seat->suc->o.pooler, seat->svc, now_us);
+    plr_seek (sv->suc->o.pooler, sv->svc, now_us);
 }
 
 static void
-tick_seat (struct seat *seat, GHashTable *vms, int64_t now_us)
+tick_service (struct suc_service *sv, GHashTable *vms, int64_t now_us)
 {
-  struct svc_instance *primary = primary_of (seat);
-  struct suc_evidence e = gather (seat, primary, now_us);
+  struct svc_instance *primary = primary_of (sv);
+  struct suc_evidence e = gather (sv, primary, now_us);
 
-  switch (seat->state)
+  switch (sv->state)
     {
     case CALM:
-      on_calm (seat, &e, vms, now_us);
+      on_calm (sv, &e, vms, now_us);
       break;
     case ASKING:
-      on_asking (seat, &e, now_us);
+      on_asking (sv, &e, now_us);
       break;
     case SURVEYING:
-      on_surveying (seat, primary, now_us);
+      on_surveying (sv, primary, now_us);
       break;
     case STEPPING:
-      on_stepping (seat, primary, now_us);
+      on_stepping (sv, primary, now_us);
       break;
     case PROMOTING_AGAIN:
-      if (now_us - seat->since_us > PROMOTE_AGAIN_US)
-        promote (seat, now_us);
+      if (now_us - sv->since_us > PROMOTE_AGAIN_US)
+        promote (sv, now_us);
       break;
     case SETTLING:
-      on_settling (seat, now_us);
+      on_settling (sv, now_us);
       break;
     case CLAIMING:
     case PROMOTING:
@@ -524,10 +520,10 @@
   g_hash_table_iter_init (&iter, plr_services (s->o.pooler));
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
-      struct seat *seat = seat_of (s, name);
+      struct suc_service *sv = service_of (s, name);
 
-      if (seat->svc->instances->len > 0)
-        tick_seat (seat, vms, now_us);
+      if (sv->svc->instances->len > 0)
+        tick_service (sv, vms, now_us);
     }
 }
 
@@ -537,55 +533,55 @@
 suc_note_claim (struct suc *s, const char *service, const char *vm,
                 uint64_t revision, int64_t now_us)
 {
-  struct seat *seat = seat_of (s, service);
+  struct suc_service *sv = service_of (s, service);
 
-  if (revision <= seat->claim)
+  if (revision <= sv->claim)
     return;
-  seat->claim = revision;
-  seat->claim_us = now_us;
-  seat->claim_is_own = strcmp (vm, s->o.vm) == 0;
+  sv->claim = revision;
+  sv->claim_us = now_us;
+  sv->claim_is_own = strcmp (vm, s->o.vm) == 0;
 }
 
 static void
-act (struct seat *seat, uint64_t token, int64_t now_us)
+act (struct suc_service *sv, uint64_t token, int64_t now_us)
 {
   struct svc_instance *primary;
 
-  seat->token = token;
-  seat->tries = 0;
-  primary = primary_of (seat);
-  if (seat->planned && primary && seat->svc->leader == primary
-      && plr_step_down (seat->suc->o.pooler, primary, now_us))
-    enter (seat, STEPPING, now_us);
+  sv->token = token;
+  sv->tries = 0;
+  primary = primary_of (sv);
+  if (sv->planned && primary && sv->svc->leader == primary
+      && plr_step_down (sv->suc->o.pooler, primary, now_us))
+    enter (sv, STEPPING, now_us);
   else
-    promote (seat, now_us);
+    promote (sv, now_us);
 }
 
 void
 suc_claimed (struct suc *s, const char *service, uint64_t token, bool settled,
              int64_t now_us)
 {
-  struct seat *seat = seat_of (s, service);
+  struct suc_service *sv = service_of (s, service);
 
   EV (s->o.log, now_us, EV_CLAIM, EV_TEXT ("service", service),
-      EV_TEXT ("instance", seat->target), EV_INT ("token", (int64_t)token),
+      EV_TEXT ("instance", sv->target), EV_INT ("token", (int64_t)token),
       EV_TEXT ("outcome", token > 0 ? "won"
                           : settled ? "taken by another"
                                     : "the store did not answer"));
-  if (seat->state != CLAIMING)
+  if (sv->state != CLAIMING)
     return;
   if (token > 0)
     {
       ctr_add (s->o.counters, CTR_CLAIMS, 1);
       suc_note_claim (s, service, s->o.vm, token, now_us);
-      act (seat, token, now_us);
+      act (sv, token, now_us);
     }
-  else if (!settled && seat->claim_is_own)
+  else if (!settled && sv->claim_is_own)
     /* The store is away, but nobody else can have claimed since; where one
        has, the fencing token is refused.  */
-    act (seat, seat->claim, now_us);
+    act (sv, sv->claim, now_us);
   else
-    calm_down (seat, PAUSE_US, now_us);
+    calm_down (sv, PAUSE_US, now_us);
 }
 
 void
@@ -593,31 +589,30 @@
               int64_t now_us)
 {
   static const char *const outcomes[] = { "done", "refused", "lost" };
-  struct seat *seat = seat_of (s, service);
+  struct suc_service *sv = service_of (s, service);
   struct svc_instance *target;
 
   EV (s->o.log, now_us, EV_PROMOTE, EV_TEXT ("service", service),
-      EV_TEXT ("instance", seat->target),
-      EV_INT ("token", (int64_t)seat->token),
+      EV_TEXT ("instance", sv->target), EV_INT ("token", (int64_t)sv->token),
       EV_TEXT ("outcome", outcomes[end]));
-  if (seat->state != PROMOTING)
+  if (sv->state != PROMOTING)
     return;
   if (end == SUC_PROMOTED)
     {
-      enter (seat, SETTLING, now_us);
+      enter (sv, SETTLING, now_us);
       return;
     }
-  if (end == SUC_PROMOTE_LOST && seat->tries < PROMOTE_TRIES)
+  if (end == SUC_PROMOTE_LOST && sv->tries < PROMOTE_TRIES)
     {
-      enter (seat, PROMOTING_AGAIN, now_us);
+      enter (sv, PROMOTING_AGAIN, now_us);
       return;
     }
-  target = svc_find (seat->svc, seat->target);
+  target = svc_find (sv->svc, sv->target);
   if (target)
     target->unfit_until_us = now_us + SETTLE_US;
   /* The same token is not used again: the next try claims anew.  */
-  seat->token = 0;
-  calm_down (seat, PAUSE_US, now_us);
+  sv->token = 0;
+  calm_down (sv, PAUSE_US, now_us);
 }
 
 void
@@ -625,19 +620,19 @@
            const char *vm, enum suc_vote vote, int64_t now_us)
 {
   static const char *const votes[] = { "reached", "missed", "unknown" };
-  struct seat *seat = seat_of (s, service);
+  struct suc_service *sv = service_of (s, service);
 
   EV (s->o.log, now_us, EV_VOTE, EV_TEXT ("service", service),
       EV_TEXT ("instance", instance), EV_TEXT ("from", vm),
       EV_TEXT ("vote", votes[vote]),
-      EV_INT ("after_us", now_us - seat->since_us));
+      EV_INT ("after_us", now_us - sv->since_us));
   if (vote == SUC_VOTE_REACHED)
     plr_detour (s->o.pooler, service, instance, vm, now_us);
-  if (seat->state != ASKING || g_strcmp0 (seat->primary, instance) != 0)
+  if (sv->state != ASKING || g_strcmp0 (sv->primary, instance) != 0)
     return;
-  seat->votes.voted++;
-  seat->votes.reached += vote == SUC_VOTE_REACHED ? 1 : 0;
-  seat->votes.missed += vote == SUC_VOTE_MISSED ? 1 : 0;
+  sv->votes.voted++;
+  sv->votes.reached += vote == SUC_VOTE_REACHED ? 1 : 0;
+  sv->votes.missed += vote == SUC_VOTE_MISSED ? 1 : 0;
 }
 
 enum suc_vote
@@ -649,7 +644,8 @@
 
   if (!i)
     return SUC_VOTE_UNKNOWN;
-  if (i->dark || i->refused_us > 0 || i->question_us > 0)
-    return i->dark || i->refused_us > 0 ? SUC_VOTE_MISSED : SUC_VOTE_UNKNOWN;
+  if (i->unresponsive || i->refused_us > 0 || i->question_us > 0)
+    return i->unresponsive || i->refused_us > 0 ? SUC_VOTE_MISSED
+                                                : SUC_VOTE_UNKNOWN;
   return now_us - i->heard_us < HEARD_US ? SUC_VOTE_REACHED : SUC_VOTE_UNKNOWN;
 }
--- a/packages/core/succeed.h
+++ b/packages/core/succeed.h
@@ -5,9 +5,9 @@
    since one broken link is no reason.  The right to act is a claim in the
    platform's store, taken by compare-and-swap; its revision is the fencing
    token of the promotion, so it rises with each claim and two proxies never
-   share one.  The claim stands until another proxy takes it: no lease has to be
-   renewed, and a proxy that promoted before can do so again while the store is
-   away.  A first promotion needs the store.  */
+   share one.  The claim stands until another proxy takes it: no lease has to
+   be renewed, and a proxy that promoted before can do so again while the store
+   is away.  A first promotion needs the store.  */
 #ifndef CB_SUCCEED_H
 #define CB_SUCCEED_H
 
@@ -22,7 +22,7 @@
   bool lapsed;           /* the directory lost it a moment ago */
   bool draining;         /* it leaves as planned */
   bool denied;           /* it answers, and says that it doesn't lead */
-  bool dark;             /* it doesn't answer */
+  bool unresponsive;     /* it doesn't answer */
   int64_t refused_us;    /* connections are refused for so long */
   int64_t leaderless_us; /* nobody is proved for so long */
   uint32_t candidates;   /* replicas that answer and may be promoted */
--- a/packages/core/svc.c
+++ b/packages/core/svc.c
@@ -200,7 +200,7 @@
 bool
 svc_is_usable (const struct svc_instance *instance, int64_t now_us)
 {
-  if (instance->entry->draining || instance->dark)
+  if (instance->entry->draining || instance->unresponsive)
     return false;
   return instance->missing_since_us == 0 || svc_is_lapsed (instance, now_us);
 }
@@ -210,7 +210,7 @@
 {
   int64_t since_us = 0;
 
-  if (instance->dark)
+  if (instance->unresponsive)
     return false;
   if (instance->missing_since_us > 0)
     since_us = instance->missing_since_us;
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -41,17 +41,17 @@
   uint32_t n_in_use;     /* links with a statement or transaction */
   int64_t open_after_us; /* no new connection before */
   int64_t open_backoff_us;
-  bool yielding;         /* gives the next resting connection back */
-  int64_t starved_us;    /* full, while this proxy has no connection */
-  int64_t begged_us;     /* others were last asked for one */
-  int64_t heard_us;      /* last byte or accepted connection */
-  int64_t refused_us;    /* connections are refused since, 0 = not */
-  int64_t question_us;   /* sent then, free of queues, unanswered; 0 = none */
-  bool dark;             /* nothing was heard for too long after a question */
-  int64_t round_trip_us; /* smoothed, of questions free of queues */
-  int64_t work_us;       /* smoothed, of statements, without the round trip */
-  int64_t busy_until_us; /* it shed load */
-  struct lp behind;      /* it lacked this position ... */
+  bool yielding;          /* gives the next resting connection back */
+  int64_t starved_us;     /* full, while this proxy has no connection */
+  int64_t yield_asked_us; /* others were last asked for one */
+  int64_t heard_us;       /* last byte or accepted connection */
+  int64_t refused_us;     /* connections are refused since, 0 = not */
+  int64_t question_us;    /* sent then, free of queues, unanswered; 0 = none */
+  bool unresponsive;      /* nothing was heard for too long after a question */
+  int64_t round_trip_us;  /* smoothed, of questions free of queues */
+  int64_t work_us;        /* smoothed, of statements, without the round trip */
+  int64_t busy_until_us;  /* it shed load */
+  struct lp behind;       /* it lacked this position ... */
   int64_t behind_until_us; /* ... and isn't asked for it before */
   struct lp position;      /* highest it has shown */
   struct lp received;      /* by its status, for the choice of a successor */
@@ -115,7 +115,7 @@
 int64_t svc_proved_us (const struct svc *s);
 
 /* True when new work may be sent to INSTANCE: it is listed, not draining and
-   not dark.  */
+   not unresponsive.  */
 bool svc_is_usable (const struct svc_instance *instance, int64_t now_us);
 /* True when INSTANCE leaves but may still lead until its successor does.  */
 bool svc_may_lead_on (const struct svc_instance *instance, int64_t now_us);
--- a/tests/fakes/lineserver.c
+++ b/tests/fakes/lineserver.c
@@ -134,7 +134,8 @@
   struct conn *c = arg;
   size_t used = 0;
 
-  while (!c->gone && c->due_us == 0 && !c->server->faults.dark && used < len)
+  while (!c->gone && c->due_us == 0 && !c->server->faults.unresponsive
+         && used < len)
     {
       char *end = memchr (data + used, '\n', len - used);
       size_t n;
@@ -265,7 +266,7 @@
 void
 lsv_turn (struct lsv *s, int64_t now_us)
 {
-  for (guint i = s->conns->len; i > 0 && !s->faults.dark; i--)
+  for (guint i = s->conns->len; i > 0 && !s->faults.unresponsive; i--)
     {
       struct conn *c;
 
--- a/tests/fakes/lineserver.h
+++ b/tests/fakes/lineserver.h
@@ -10,7 +10,7 @@
 /* Faults of one instance; chances in parts of a thousand.  */
 struct lsv_faults
 {
-  bool dark;             /* reads and answers nothing */
+  bool unresponsive;     /* reads and answers nothing */
   uint32_t lose_answer;  /* the answer never comes */
   uint32_t break_answer; /* the connection breaks in the middle of it */
   uint32_t busy;         /* sheds the statement */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -72,7 +72,7 @@
       {
         struct dbm_instance *i = dbm_find (soak.groups[k].db, instance);
 
-        if (i && !lsv_faults (soak.groups[k].servers[i->index])->dark
+        if (i && !lsv_faults (soak.groups[k].servers[i->index])->unresponsive
             && dbm_promote (soak.groups[k].db, instance, token,
                             loop_now_us ()))
           status = 200;
@@ -112,7 +112,7 @@
         struct group *g = &soak.groups[n];
         char *key = g_strconcat ("servers/", g->db->instances[k].id, NULL);
 
-        if (!lsv_faults (g->servers[k])->dark)
+        if (!lsv_faults (g->servers[k])->unresponsive)
           {
             g->seen_us[k] = now_us;
             list_instance (g, k);
@@ -261,7 +261,7 @@
   switch (roll (7))
     {
     case 0:
-      f->dark = true;
+      f->unresponsive = true;
       break;
     case 1:
       f->lose_answer = 30;
@@ -312,7 +312,7 @@
   kvs_set_fault (soak.store, KVS_UP);
 }
 
-/* One dark primary, from 8 s on; a line a second.  */
+/* One unresponsive primary, from 8 s on; a line a second.  */
 static void
 demonstrate (int64_t now_us)
 {
@@ -322,8 +322,9 @@
 
   if (second == 8 && soak.told_us / 1000000 != second && primary)
     {
-      printf ("-- the primary %s of %s goes dark\n", primary->id, g->name);
-      lsv_faults (g->servers[primary->index])->dark = true;
+      printf ("-- the primary %s of %s stops answering\n", primary->id,
+              g->name);
+      lsv_faults (g->servers[primary->index])->unresponsive = true;
     }
   if (soak.told_us / 1000000 == second)
     return;
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -361,15 +361,16 @@
     struct suc_evidence e;
     enum suc_verdict verdict;
   } const cases[] = {
-    // known proved listed lapsed draining denied dark refused leaderless
+    // known proved listed lapsed draining denied unresponsive refused
+    // leaderless
     // candidates
     { "a healthy primary",
       { true, true, true, false, false, false, false, 0, 0, 2 },
       SUC_KEEP },
-    { "dark for this proxy",
+    { "unresponsive for this proxy",
       { true, false, true, false, false, false, true, 0, 900000, 2 },
       SUC_ASK },
-    { "dark, and no replica answers either: this proxy is cut off",
+    { "unresponsive, and no replica answers either: this proxy is cut off",
       { true, false, true, false, false, false, true, 0, 900000, 0 },
       SUC_KEEP },
     { "a restart refuses connections for a moment",
@@ -381,7 +382,7 @@
     { "gone from the directory, though it still answers",
       { true, true, false, false, false, false, false, 0, 0, 2 },
       SUC_REPLACE },
-    { "dark, and just dropped by the directory",
+    { "unresponsive, and just dropped by the directory",
       { true, false, true, true, false, false, true, 0, 900000, 2 },
       SUC_REPLACE },
     { "just dropped by the directory, which may be the store's fault",
@@ -441,11 +442,11 @@
     size_t promotions;
     const char *answer; // of a write three seconds later
   } const cases[] = {
-    { "dark, and the peers miss it too",
-      [] (PoolWorld *w) { w->dark["i-0"] = true; }, 1, "ok" },
-    { "dark for this proxy alone",
+    { "unresponsive, and the peers miss it too",
+      [] (PoolWorld *w) { w->unresponsive["i-0"] = true; }, 1, "ok" },
+    { "unresponsive for this proxy alone",
       [] (PoolWorld *w) {
-        w->dark["i-0"] = true;
+        w->unresponsive["i-0"] = true;
         w->votes_missed = 0;
         w->votes_reached = 4;
       },
@@ -465,9 +466,9 @@
     { "gone from the directory",
       [] (PoolWorld *w) { plr_unlist_instance (w->pooler, "i-0", w->now_us); },
       1, "ok" },
-    { "dark while the store is away, and this proxy holds no claim",
+    { "unresponsive while the store is away, and this proxy holds no claim",
       [] (PoolWorld *w) {
-        w->dark["i-0"] = true;
+        w->unresponsive["i-0"] = true;
         w->store_up = false;
       },
       0, "busy" },
@@ -503,7 +504,7 @@
   Caller *warm = w.Open ("bounded");
   for (int n = 0; n < 20; n++)
     w.Ask (warm, STM_READ, nullptr, "a");
-  w.dark["i-0"] = true;
+  w.unresponsive["i-0"] = true;
   w.homes_reach = true;
   w.votes_missed = 0;
   w.votes_reached = 4;
@@ -515,7 +516,7 @@
   EXPECT_EQ (w.promoted.size (), 0u);
   EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 2"), "ok");
   // The direct way heals: it is taken again.
-  w.dark.clear ();
+  w.unresponsive.clear ();
   w.Run (6000000);
   EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 3"), "ok");
   ExpectNoBreach (w);
@@ -532,7 +533,7 @@
   Caller *warm = w.Open ("bounded");
   for (int n = 0; n < 20; n++)
     w.Ask (warm, STM_READ, nullptr, "a");
-  w.dark["i-0"] = true;
+  w.unresponsive["i-0"] = true;
   for (int n = 0; n < 30; n++)
     {
       w.Send (w.Open ("own"), STM_READ, nullptr, "a");
@@ -569,7 +570,7 @@
   Caller *x = w.Open ("fresh");
   w.Ask (x, STM_WRITE, nullptr, "a 1");
   w.Run (200000);
-  w.dark["i-0"] = true;
+  w.unresponsive["i-0"] = true;
   suc_note_claim (w.suc, "stock", "vm-2", 50, w.now_us);
   for (int n = 0; n < 15; n++)
     {
@@ -641,7 +642,7 @@
           i->lag_us = (int64_t)pick (4000000);
           break;
         case 4:
-          w.dark[i->id] = true;
+          w.unresponsive[i->id] = true;
           break;
         case 5:
           w.refused[i->id] = true;
@@ -657,7 +658,7 @@
           break;
         default:
           w.faults = Faults ();
-          w.dark.clear ();
+          w.unresponsive.clear ();
           w.refused.clear ();
           for (uint32_t k = 0; k < w.group->n; k++)
             {
@@ -669,7 +670,7 @@
     }
   // All heal: everybody is answered and served again.
   w.faults = Faults ();
-  w.dark.clear ();
+  w.unresponsive.clear ();
   w.refused.clear ();
   for (uint32_t k = 0; k < w.group->n; k++)
     w.group->instances[k].cut = false;
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -84,7 +84,7 @@
 {
   if (!u->open)
     return;
-  if (w->IsDark (u))
+  if (w->IsUnresponsive (u))
     return;
   if (w->refused[u->instance->id] && u->via_home)
     {
@@ -129,7 +129,7 @@
 void
 Answered (PoolWorld *w, UpConn *u, struct stm_end end, std::string signature)
 {
-  if (!u->open || w->IsDark (u))
+  if (!u->open || w->IsUnresponsive (u))
     return;
   if (end.signature)
     end.signature = signature.c_str ();
@@ -159,7 +159,7 @@
   bool work = s.kind == STM_READ || s.kind == STM_WRITE
               || s.kind == STM_EXECUTE || s.kind == STM_COMMIT;
 
-  if (!u->conn || w->IsDark (u))
+  if (!u->conn || w->IsUnresponsive (u))
     return;
   s.id = sent->statement.id ? sent->id.c_str () : nullptr;
   s.name = sent->statement.name ? sent->name.c_str () : nullptr;
@@ -249,7 +249,7 @@
 
   w->promoted.push_back (id);
   w->At (150000, [w, name, id, token] {
-    bool dead = w->dark[id] || w->refused[id];
+    bool dead = w->unresponsive[id] || w->refused[id];
     bool done = !dead && dbm_promote (w->group, id.c_str (), token, w->now_us);
     suc_promoted (w->suc, name.c_str (),
                   done ? SUC_PROMOTED : SUC_PROMOTE_REFUSED, w->now_us);
@@ -369,9 +369,9 @@
 }
 
 bool
-PoolWorld::IsDark (const UpConn *u)
+PoolWorld::IsUnresponsive (const UpConn *u)
 {
-  return dark[u->instance->id] && !(u->via_home && homes_reach);
+  return unresponsive[u->instance->id] && !(u->via_home && homes_reach);
 }
 
 void
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -94,7 +94,7 @@
   GHashTable *vms;
   std::mt19937_64 random;
   Faults faults;
-  std::map<std::string, bool> dark;    // instance id -> answers nobody
+  std::map<std::string, bool> unresponsive; // instance id -> answers nobody
   std::map<std::string, bool> refused; // instance id -> refuses connections
   std::vector<std::unique_ptr<UpConn> > ups;
   std::vector<std::unique_ptr<Caller> > callers;
@@ -105,7 +105,8 @@
   uint64_t serial = 0;
   uint64_t revision = 10;
   bool store_up = true;
-  bool homes_reach = false; // other proxies reach what is dark for this one
+  bool homes_reach
+      = false; // other proxies reach what is unresponsive for this one
   uint32_t votes_reached = 0;
   uint32_t votes_missed = 3;
   uint32_t claims = 0;
@@ -138,7 +139,7 @@
   // Sends one and runs until it is answered, at the longest LIMIT.
   std::string Ask (Caller *c, enum stm_kind kind, const char *name = nullptr,
                    const char *args = nullptr, int64_t limit_us = 10000000);
-  bool IsDark (const UpConn *u);
+  bool IsUnresponsive (const UpConn *u);
   bool Chance (double p);
   uint64_t
   Counter (enum ctr c)
