--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -184,6 +185,8 @@
 
       if (!log || dup2 (STDOUT_FILENO, STDERR_FILENO) < 0)
         _exit (126);
+      /* Ends with the soak, however that ends.  */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       setenv ("CASSIABAY_SETTINGS", v->settings, 1);
       execl (soak.program, soak.program, "--platform", (char *)NULL);
       _exit (127);
