--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -163,9 +163,22 @@
   Caller *c = w.Open ("fresh");
   EXPECT_EQ (w.Ask (c, STM_READ, nullptr, "a"), "ok");
   dbm_promote (w.group, "i-1", 100, w.now_us);
+  // Another proxy writes at the new primary; the old one lags.
+  w.group->instances[0].lag_us = 10000000;
+  struct dbm_conn *other = dbm_connect (&w.group->instances[1]);
+  struct stm write = {};
+  struct stm_end end;
+  write.kind = STM_WRITE;
+  write.id = "elsewhere";
+  w.senders["elsewhere"] = {};
+  w.sender_names["elsewhere"] = "other";
+  dbm_run (other, {}, &write, &end, w.now_us);
+  dbm_acknowledged (w.group, "elsewhere", w.now_us);
+  dbm_disconnect (other);
+  w.Run (1000);
   EXPECT_EQ (w.Ask (c, STM_READ, nullptr, "a"), "ok");
   EXPECT_EQ (w.Ask (c, STM_WRITE, nullptr, "a 1"), "ok");
-  EXPECT_EQ (w.group->entries->len, 1u);
+  EXPECT_EQ (w.group->entries->len, 2u);
   ExpectNoBreach (w);
 }
 
