--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -1,7 +1,7 @@
 /* Internals of the pooler, shared by its parts: pooler.c (sessions and
-   statements), poolrun.c (placing and sending), poolend.c (answers and
-   losses), poolwatch.c (probes, time limits, directory).  Calls go from the
-   first to the last of: pooler, poolwatch, poolend, poolrun.  */
+   statements), pooldir.c (configuration and instances), poolwatch.c (probes
+   and time limits), poolrelay.c (statements of other proxies), poolend.c
+   (answers and losses), poolrun.c (placing and sending).  */
 #ifndef CB_POOLERINT_H
 #define CB_POOLERINT_H
 
@@ -14,14 +14,13 @@
   struct dir_config *config;
   GHashTable *services; /* name -> struct svc * */
   struct ses_shapes *shapes;
-  GQueue sessions; /* struct ses * */
-  GQueue active;   /* those with a statement under way */
-  GPtrArray *dead; /* links to free, struct ul * */
+  GQueue sessions;    /* struct ses * */
+  GQueue active;      /* those with a statement under way */
+  GPtrArray *dropped; /* links to free, struct ul * */
   struct rly_table vms;
-  GHashTable *bad_homes; /* name -> int64_t *, not used before */
+  GHashTable *failed_homes; /* name -> int64_t *, not used before */
   bool directory_reachable;
   enum plr_drain drain;
-  uint64_t random;
   plr_yield_fn *starved; /* NULL: nobody to ask */
   void *starved_arg;
 };
@@ -40,7 +39,8 @@
 /* Brings homes and limits of the instances of S up to date.  */
 void plr_update_homes (struct plr *p, struct svc *s);
 /* The home that LINK goes through failed.  */
-void plr_blame_home (struct plr *p, const struct ul *link, int64_t now_us);
+void plr_note_home_failed (struct plr *p, const struct ul *link,
+                           int64_t now_us);
 /* True when this proxy has more connections to I than its share.  */
 bool plr_has_surplus (const struct svc_instance *i);
 /* Takes the connection from S; what it still owes is dropped.  */
@@ -62,10 +62,10 @@
 void plr_retry (struct plr *p, struct ses *s, enum rsn_retry why,
                 int64_t delay_us, int64_t now_us);
 /* Everything under way on LINK is lost; closes it.  The memory is freed by
-   plr_bury, so that callers may still look at it.  */
+   plr_free_dropped, so that callers may still look at it.  */
 void plr_drop_link (struct plr *p, struct ul *link, int64_t now_us);
 /* Frees the links that were dropped; the last act of every event.  */
-void plr_bury (struct plr *p);
+void plr_free_dropped (struct plr *p);
 /* The statement of S got no answer in time.  */
 void plr_expire (struct plr *p, struct ses *s, int64_t now_us);
 /* The answer to the statement of S, which may run again or can be taken back,
@@ -90,6 +90,9 @@
 
 /* poolwatch.c */
 
+/* Drops the connections of I; ALL: also those in use.  */
+void plr_drop_links (struct plr *p, struct svc_instance *i, bool all,
+                     int64_t now_us);
 /* Makes sure that the primary of S is being looked for.  */
 void plr_seek_leader (struct plr *p, struct svc *s, int64_t now_us);
 
--- a/packages/core/svc.c
+++ b/packages/core/svc.c
@@ -106,7 +106,7 @@
 
 bool
 svc_note_lead (struct svc_instance *instance, int64_t asked_us,
-               struct lp position, int64_t now_us)
+               struct lp position)
 {
   struct svc *s = instance->svc;
   bool changed = s->leader != instance;
@@ -128,7 +128,6 @@
   if (lp_is_known (position))
     add_sample (s, asked_us, position);
   svc_note_position (instance, position);
-  (void)now_us;
   return changed;
 }
 
@@ -201,7 +200,7 @@
 bool
 svc_is_usable (const struct svc_instance *instance, int64_t now_us)
 {
-  if (instance->entry->draining || instance->dark)
+  if (instance->entry->draining || instance->unresponsive)
     return false;
   return instance->missing_since_us == 0 || svc_is_lapsed (instance, now_us);
 }
@@ -211,7 +210,7 @@
 {
   int64_t since_us = 0;
 
-  if (instance->dark)
+  if (instance->unresponsive)
     return false;
   if (instance->missing_since_us > 0)
     since_us = instance->missing_since_us;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -72,7 +73,7 @@
       {
         struct dbm_instance *i = dbm_find (soak.groups[k].db, instance);
 
-        if (i && !lsv_faults (soak.groups[k].servers[i->index])->dark
+        if (i && !lsv_faults (soak.groups[k].servers[i->index])->unresponsive
             && dbm_promote (soak.groups[k].db, instance, token,
                             loop_now_us ()))
           status = 200;
@@ -112,7 +113,7 @@
         struct group *g = &soak.groups[n];
         char *key = g_strconcat ("servers/", g->db->instances[k].id, NULL);
 
-        if (!lsv_faults (g->servers[k])->dark)
+        if (!lsv_faults (g->servers[k])->unresponsive)
           {
             g->seen_us[k] = now_us;
             list_instance (g, k);
@@ -184,6 +185,8 @@
 
       if (!log || dup2 (STDOUT_FILENO, STDERR_FILENO) < 0)
         _exit (126);
+      /* Ends with the soak, however that ends.  */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       setenv ("CASSIABAY_SETTINGS", v->settings, 1);
       execl (soak.program, soak.program, "--platform", (char *)NULL);
       _exit (127);
@@ -261,7 +264,7 @@
   switch (roll (7))
     {
     case 0:
-      f->dark = true;
+      f->unresponsive = true;
       break;
     case 1:
       f->lose_answer = 30;
@@ -312,7 +315,7 @@
   kvs_set_fault (soak.store, KVS_UP);
 }
 
-/* One dark primary, from 8 s on; a line a second.  */
+/* One unresponsive primary, from 8 s on; a line a second.  */
 static void
 demonstrate (int64_t now_us)
 {
@@ -322,8 +325,9 @@
 
   if (second == 8 && soak.told_us / 1000000 != second && primary)
     {
-      printf ("-- the primary %s of %s goes dark\n", primary->id, g->name);
-      lsv_faults (g->servers[primary->index])->dark = true;
+      printf ("-- the primary %s of %s stops answering\n", primary->id,
+              g->name);
+      lsv_faults (g->servers[primary->index])->unresponsive = true;
     }
   if (soak.told_us / 1000000 == second)
     return;
