An instance that is no more leaves nothing that points to it

Cause: when an instance started again under its id, its connections were dropped first; the statements they carried were tried again at once, could open a new connection to the same entry, and remembered it as the one to avoid. Then it was freed. The test of an instance born anew read freed memory under AddressSanitizer in plr_refuse. Ruled out: the dropped links, which don't touch their instance again. The entry is now taken out of the choice before its connections are dropped, and sessions forget it; the one that ages out of the directory goes the same way.

--- a/packages/core/pooldir.c
+++ b/packages/core/pooldir.c
@@ -69,6 +69,27 @@
       EV_TEXT ("state", d->draining ? "draining" : "ready"));
 }
 
+void
+plr_forget_instance (struct plr *p, struct svc_instance *i, int64_t now_us)
+{
+  struct svc *s = i->svc;
+
+  /* Out of the choice first: what it loses is tried again at once.  */
+  i->unresponsive = true;
+  if (s->leader == i)
+    s->leader = NULL;
+  plr_drop_links (p, i, true, now_us);
+  for (GList *l = p->sessions.head; l; l = l->next)
+    {
+      struct ses *session = l->data;
+
+      if (session->avoid == i)
+        session->avoid = NULL;
+    }
+  plr_free_dropped (p);
+  svc_remove (s, i);
+}
+
 /* A first listing, or the same id at another place: a new process.  */
 static struct svc_instance *
 renew_instance (struct plr *p, struct svc *s, const struct dir_instance *d,
@@ -79,11 +100,7 @@
   if (i && dir_instance_same_place (i->entry, d))
     return i;
   if (i)
-    {
-      plr_drop_links (p, i, true, now_us);
-      plr_free_dropped (p);
-      svc_remove (s, i);
-    }
+    plr_forget_instance (p, i, now_us);
   i = svc_add (s, d);
   i->round_trip_us = first_round_trip_us (p, d->data_centre);
   log_instance (p, d, "listed", now_us);
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -75,6 +75,12 @@
                       struct lp position, int64_t now_us);
 void plr_note_denied (struct plr *p, struct svc_instance *i, int64_t now_us);
 
+/* pooldir.c */
+
+/* Frees I, which is no more; nothing refers to it afterwards.  */
+void plr_forget_instance (struct plr *p, struct svc_instance *i,
+                          int64_t now_us);
+
 /* poolrelay.c */
 
 /* Sends the statement of a relay session, or lets it wait.  */
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -366,7 +366,7 @@
       watch_instance (p, i, now_us);
       if (i->missing_since_us > 0 && i->links->len == 0
           && now_us - i->missing_since_us > FORGET_US)
-        svc_remove (s, i);
+        plr_forget_instance (p, i, now_us);
     }
   watch_leader (p, s, now_us);
   plr_pump (p, s, now_us);
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -327,6 +327,29 @@
   ExpectNoBreach (w);
 }
 
+TEST (Pooler, AnInstanceThatStartsAgainUnderItsIdIsAnother)
+{
+  // Statements under way went to the entry that was about to be freed.
+  PoolWorld w (18);
+  Caller *c = w.Open ("fresh");
+  Caller *reader = w.Open ("fresh");
+  EXPECT_EQ (w.Ask (c, STM_WRITE, nullptr, "a 1"), "ok");
+  w.faults.work_us = 100000;
+  w.Send (c, STM_READ, nullptr, "a");
+  w.Send (reader, STM_READ, nullptr, "a");
+  w.Run (20000);
+  w.List (&w.group->instances[0], false, 7);
+  w.faults.work_us = 4000;
+  for (uint32_t k = 0; k < w.group->n; k++)
+    w.unresponsive[w.group->instances[k].id] = true;
+  w.Run (1500000);
+  EXPECT_FALSE (c->busy);
+  w.unresponsive.clear ();
+  w.Run (2000000);
+  EXPECT_EQ (w.Ask (c, STM_READ, nullptr, "a"), "ok");
+  ExpectNoBreach (w);
+}
+
 TEST (Pooler, ALateAnswerSaysWhereItsTimeWent)
 {
   PoolWorld w (17);
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -421,7 +421,7 @@
 }
 
 void
-PoolWorld::List (struct dbm_instance *i, bool draining)
+PoolWorld::List (struct dbm_instance *i, bool draining, int64_t born_ms)
 {
   struct dir_instance d = {};
 
@@ -431,6 +431,7 @@
   d.host = (char *)"10.0.0.1";
   d.port = (uint16_t)(5000 + i->index);
   d.data_centre = (char *)(i->index == 0 ? "a" : "b");
+  d.born_ms = born_ms;
   d.slots = 2;
   d.draining = draining;
   d.says_primary = i->primary;
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -131,7 +131,8 @@
   void At (int64_t delay_us, std::function<void ()> fn);
   void Run (int64_t for_us);
   void Configure (uint64_t version, std::vector<std::string> dropped = {});
-  void List (struct dbm_instance *i, bool draining = false);
+  void List (struct dbm_instance *i, bool draining = false,
+             int64_t born_ms = 0);
   Caller *Open (const std::string &database);
   // Sends one statement; the answer arrives in Run.
   void Send (Caller *c, enum stm_kind kind, const char *name = nullptr,
