One piece of code for what the pooler wrote twice

Gone, as nothing read them: the service's sync flag, status_us, started_us, a session parameter that was always NULL, plr_seek before plr_seek_leader; LP_NONE stands for six local empty positions. The comment on plr_end_listing named a parameter that it hasn't. Ruled out: sharing load_site with load_settings and the two table-lookup shapes of dir.c, whose types differ throughout.

--- a/packages/adapters/http.c
+++ b/packages/adapters/http.c
@@ -138,7 +138,7 @@
   struct ent_answer answer = { 0 };
   char *body;
 
-  atomic_fetch_add (&h->options.counters->reason[reason], 1);
+  ctr_count_reason (h->options.counters, reason);
   answer.reason = reason;
   answer.detail = detail;
   body = cjs_answer (&answer);
--- a/packages/adapters/stream.c
+++ b/packages/adapters/stream.c
@@ -293,6 +293,21 @@
   return s->out;
 }
 
+size_t
+stream_cut_line (char *data, size_t len, char **line, size_t *line_len)
+{
+  char *end = memchr (data, '\n', len);
+  size_t n;
+
+  if (!end)
+    return 0;
+  n = (size_t)(end - data);
+  *line = data;
+  *line_len = n > 0 && data[n - 1] == '\r' ? n - 1 : n;
+  data[*line_len] = '\0';
+  return n + 1;
+}
+
 void
 stream_close (struct stream *s, bool flush)
 {
--- a/packages/core/dir.h
+++ b/packages/core/dir.h
@@ -32,7 +32,6 @@
 {
   char *name;
   int32_t connections_max; /* that one instance accepts from all VMs */
-  bool sync; /* a commit waits for a replica before it is acknowledged */
 };
 
 /* One version of the operators' configuration.  Immutable once built.  */
--- a/packages/core/entry.c
+++ b/packages/core/entry.c
@@ -83,7 +83,7 @@
 void
 ent_give_answer (struct entry *e, void *tag, const struct ent_answer *answer)
 {
-  atomic_fetch_add (&e->options.counters->reason[answer->reason], 1);
+  ctr_count_reason (e->options.counters, answer->reason);
   e->options.answer (e->options.answer_arg, tag, answer);
 }
 
@@ -154,14 +154,14 @@
   if (!e->options.unlimited_retries && e->retry_tokens < 1.0)
     return false;
   e->retry_tokens -= 1.0;
-  atomic_fetch_add (&e->options.counters->retry[cause], 1);
+  ctr_count_retry (e->options.counters, cause);
   return true;
 }
 
 static void
 count_retry (struct entry *e, enum rsn_retry cause)
 {
-  atomic_fetch_add (&e->options.counters->retry[cause], 1);
+  ctr_count_retry (e->options.counters, cause);
 }
 
 static struct rte_distance
--- a/packages/core/logpos.h
+++ b/packages/core/logpos.h
@@ -13,6 +13,9 @@
   uint64_t number;
 };
 
+/* No position.  */
+#define LP_NONE ((struct lp){ 0, 0 })
+
 static inline bool
 lp_is_known (struct lp p)
 {
--- a/packages/core/pooldir.c
+++ b/packages/core/pooldir.c
@@ -7,6 +7,7 @@
 #define NEAR_US 1000
 #define REGION_US 3000
 #define FAR_US 20000
+
 typedef void visit_fn (struct plr *p, struct svc_instance *i, const void *data,
                        int64_t now_us);
 
@@ -54,7 +55,6 @@
       if (s->connections_max != d->connections_max)
         p->vms.generation++;
       s->connections_max = d->connections_max;
-      s->sync = d->sync;
     }
   return true;
 }
@@ -77,7 +77,7 @@
   /* Out of the choice first: what it loses is tried again at once.  */
   i->unresponsive = true;
   if (s->leader == i)
-    s->leader = NULL;
+    svc_lose_leader (s, now_us);
   plr_drop_links (p, i, true, now_us);
   for (GList *l = p->sessions.head; l; l = l->next)
     {
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -113,8 +113,7 @@
   struct stm_end end = { 0 };
   bool over = !s->work.transaction || s->statement.kind == STM_COMMIT;
 
-  atomic_fetch_add_explicit (&p->o.counters->refusal[why], 1,
-                             memory_order_relaxed);
+  ctr_count_refusal (p->o.counters, why);
   ctr_observe (p->o.counters, "refused", now_us - s->arrived_us);
   EV (p->o.log, now_us, EV_REFUSED, EV_TEXT ("id", s->statement.id),
       EV_TEXT ("database", s->database), EV_TEXT ("why", rfs_name (why)),
@@ -137,8 +136,7 @@
 plr_retry (struct plr *p, struct ses *s, enum rsn_retry why, int64_t delay_us,
            int64_t now_us)
 {
-  atomic_fetch_add_explicit (&p->o.counters->retry[why], 1,
-                             memory_order_relaxed);
+  ctr_count_retry (p->o.counters, why);
   EV (p->o.log, now_us, EV_RETRY, EV_TEXT ("id", s->statement.id),
       EV_TEXT ("why", rsn_retry_text (why)), EV_TEXT ("kind", kind_name (s)),
       EV_TEXT ("instance", s->link ? s->link->instance->entry->id : ""),
@@ -362,7 +360,7 @@
 }
 
 static void
-on_status (struct ul *link, const struct stm_end *end, int64_t now_us)
+on_status (struct ul *link, const struct stm_end *end)
 {
   struct svc_instance *i = link->instance;
 
@@ -370,7 +368,6 @@
     return;
   i->received = end->status->received;
   i->status_term = MAX (i->status_term, end->status->term);
-  i->status_us = now_us;
 }
 
 static void
@@ -434,10 +431,10 @@
       on_statement (p, link, &q, end, now_us);
       break;
     case UL_STATUS:
-      on_status (link, end, now_us);
+      on_status (link, end);
       break;
     case UL_STEP_DOWN:
-      on_status (link, end, now_us);
+      on_status (link, end);
       if (end->ok)
         plr_note_denied (p, link->instance, now_us);
       break;
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -78,6 +78,14 @@
   return s;
 }
 
+struct svc_instance *
+plr_find_instance (const struct plr *p, const char *service, const char *id)
+{
+  struct svc *s = g_hash_table_lookup (p->services, service);
+
+  return s ? svc_find (s, id) : NULL;
+}
+
 GHashTable *
 plr_services (struct plr *p)
 {
@@ -111,8 +119,7 @@
 
   if (!dir_find_route (p->config, database))
     {
-      atomic_fetch_add_explicit (&p->o.counters->refusal[RFS_NO_ROUTE], 1,
-                                 memory_order_relaxed);
+      ctr_count_refusal (p->o.counters, RFS_NO_ROUTE);
       EV (p->o.log, now_us, EV_REFUSED, EV_TEXT ("database", database),
           EV_TEXT ("why", rfs_name (RFS_NO_ROUTE)),
           EV_INT ("version", (int64_t)plr_version (p)));
@@ -150,8 +157,7 @@
 {
   struct stm_end end = { 0 };
 
-  atomic_fetch_add_explicit (&p->o.counters->refusal[why], 1,
-                             memory_order_relaxed);
+  ctr_count_refusal (p->o.counters, why);
   EV (p->o.log, now_us, EV_REFUSED, EV_TEXT ("id", statement->id),
       EV_TEXT ("database", s->database), EV_TEXT ("why", rfs_name (why)),
       EV_TEXT ("code", sqc_name (code)));
@@ -270,6 +276,18 @@
   return true;
 }
 
+void
+plr_take (struct plr *p, struct ses *s, const struct stm *statement,
+          bool writes, int64_t now_us)
+{
+  ses_take (s, statement, now_us);
+  s->writes = writes;
+  s->stage = SES_SENT;
+  s->sent_us = 0;
+  g_queue_push_tail_link (&p->active, &s->active);
+  plr_start (p, s, now_us);
+}
+
 static void
 run (struct plr *p, struct ses *s, const struct stm *statement, int64_t now_us)
 {
@@ -289,12 +307,7 @@
               s->state == STM_OPEN ? STM_BROKEN : STM_IDLE, now_us);
       return;
     }
-  ses_take (s, statement, now_us);
-  s->writes = writes;
-  s->stage = SES_SENT;
-  s->sent_us = 0;
-  g_queue_push_tail_link (&p->active, &s->active);
-  plr_start (p, s, now_us);
+  plr_take (p, s, statement, writes, now_us);
 }
 
 static void
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -60,8 +60,8 @@
                         int64_t now_us);
 /* The directory lost the instance.  */
 void plr_unlist_instance (struct plr *p, const char *id, int64_t now_us);
-/* The directory was read in full: instances not listed since BEFORE_US are
-   missing.  */
+/* The directory was read in full: instances whose id is not in LISTED_IDS, a
+   set, are missing.  */
 void plr_end_listing (struct plr *p, GHashTable *listed_ids, int64_t now_us);
 /* Whether the directory can be trusted to be current.  While it can't,
    missing instances stay in use.  */
@@ -138,9 +138,12 @@
 GHashTable *plr_services (struct plr *p);
 /* Asks every usable instance of S for its status.  */
 void plr_ask_status (struct plr *p, struct svc *s, int64_t now_us);
-/* Looks for the primary of S now.  */
-void plr_seek (struct plr *p, struct svc *s, int64_t now_us);
+/* Makes sure that the primary of S is being looked for.  */
+void plr_seek_leader (struct plr *p, struct svc *s, int64_t now_us);
+/* NULL when the service or the instance is unknown.  */
+struct svc_instance *plr_find_instance (const struct plr *p,
+                                        const char *service, const char *id);
 /* Tells the primary to lead no more.  False when no connection is free.  */
-bool plr_step_down (struct plr *p, struct svc_instance *i, int64_t now_us);
+bool plr_step_down (struct svc_instance *i, int64_t now_us);
 
 #endif
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -31,6 +31,9 @@
 void plr_start (struct plr *p, struct ses *s, int64_t now_us);
 /* Sends the statement of S on the connection it holds.  */
 void plr_send (struct plr *p, struct ses *s, int64_t now_us);
+/* Brings values and prepared statements of the connection that S holds up to
+   date; gives its statement as the upstream knows it.  */
+struct stm plr_sync_link (struct ses *s, int64_t now_us);
 /* Tries every waiting statement of a service again.  */
 void plr_pump (struct plr *p, struct svc *s, int64_t now_us);
 /* Opens a connection.  */
@@ -99,12 +102,14 @@
 /* Drops the connections of I; ALL: also those in use.  */
 void plr_drop_links (struct plr *p, struct svc_instance *i, bool all,
                      int64_t now_us);
-/* Makes sure that the primary of S is being looked for.  */
-void plr_seek_leader (struct plr *p, struct svc *s, int64_t now_us);
+/* pooler.c */
 
 struct svc *plr_service (struct plr *p, const char *name);
 /* Hands END to the caller; S may be gone afterwards.  */
 void plr_answer (struct plr *p, struct ses *s, const struct stm_end *end);
+/* Makes STATEMENT the one under way and looks for a place for it.  */
+void plr_take (struct plr *p, struct ses *s, const struct stm *statement,
+               bool writes, int64_t now_us);
 /* Takes the statement of S out of all queues.  */
 void plr_leave_queues (struct plr *p, struct ses *s);
 /* Ends the transaction or lone statement of S.  */
--- a/packages/core/poolrelay.c
+++ b/packages/core/poolrelay.c
@@ -11,13 +11,12 @@
 plr_open_relay (struct plr *p, void *tag, const char *service,
                 const char *instance, int64_t now_us)
 {
-  struct svc *svc = g_hash_table_lookup (p->services, service);
-  struct svc_instance *i = svc ? svc_find (svc, instance) : NULL;
+  struct svc_instance *i = plr_find_instance (p, service, instance);
   struct ses *s;
 
   if (!i)
     return NULL;
-  plr_update_homes (p, svc);
+  plr_update_homes (p, i->svc);
   if (i->unresponsive || i->refused_us > 0
       || !(i->homes.direct || i->homes.own))
     return NULL;
@@ -36,9 +35,7 @@
 static struct svc_instance *
 target_of (const struct plr *p, const struct ses *s)
 {
-  struct svc *svc = g_hash_table_lookup (p->services, s->database);
-
-  return svc ? svc_find (svc, s->relay_to) : NULL;
+  return plr_find_instance (p, s->database, s->relay_to);
 }
 
 static void
@@ -88,17 +85,8 @@
 static void
 send_relay (struct plr *p, struct ses *s, int64_t now_us)
 {
-  struct stm out = s->statement;
-  const struct ses_shape *shape
-      = out.kind == STM_EXECUTE ? ses_shape_of (s, &out) : NULL;
+  struct stm out = plr_sync_link (s, now_us);
 
-  ul_sync_values (s->link, s->values, s->values_sum, now_us);
-  if (shape)
-    {
-      ul_sync_prepared (s->link, shape->id, shape->upstream_name,
-                        shape->writes, shape->text, now_us);
-      out.name = shape->upstream_name;
-    }
   ctr_add (p->o.counters, CTR_RELAYED, 1);
   s->stage = SES_SENT;
   s->sent_us = now_us;
@@ -158,14 +146,9 @@
     answer_own (p, s, false, SQC_NO_STATEMENT, now_us);
   else
     {
-      ses_take (s, statement, now_us);
       s->work.svc = i->svc;
       s->work.timeout_us = RELAY_WAIT_US;
-      s->work.priority = 0;
-      s->stage = SES_SENT;
-      s->sent_us = 0;
-      g_queue_push_tail_link (&p->active, &s->active);
-      plr_start (p, s, now_us);
+      plr_take (p, s, statement, false, now_us);
     }
 }
 
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -10,8 +10,6 @@
 /* A home that failed is not gone through for so long.  */
 #define FAILED_HOME_US 1500000
 
-static const struct lp nowhere;
-
 static bool
 needs_leader (const struct ses *s)
 {
@@ -35,7 +33,7 @@
   need.leader = needs_leader (s) || s->tries_behind >= BEHIND_TRIES
                 || !svc_floor_since (w->svc, since_us, &need.floor);
   if (need.leader)
-    need.floor = nowhere;
+    need.floor = LP_NONE;
   else if (w->reads == DIR_READS_OWN && s->wrote_in == w->svc)
     need.floor = lp_max (need.floor, s->last_commit);
   return need;
@@ -169,24 +167,36 @@
 }
 
 static void
-ask_rollback (struct ul *link, void *session, int64_t now_us)
+ask_rollback (struct ul *link, int64_t now_us)
 {
   struct stm rollback = { .kind = STM_ROLLBACK };
 
-  ul_ask (link, UL_END, nowhere, &rollback, session, now_us);
+  ul_ask (link, UL_END, LP_NONE, &rollback, NULL, now_us);
 }
 
-/* Sends the statement itself, under the name its shape has upstream.  */
-static void
-ask_statement (struct plr *p, struct ses *s, struct lp after, int64_t now_us)
+struct stm
+plr_sync_link (struct ses *s, int64_t now_us)
 {
   struct stm out = s->statement;
+  const struct ses_shape *shape;
+
+  ul_sync_values (s->link, s->values, s->values_sum, now_us);
+  if (out.kind != STM_EXECUTE)
+    return out;
+  shape = ses_shape_of (s, &s->statement);
+  ul_sync_prepared (s->link, shape->id, shape->upstream_name, shape->writes,
+                    shape->text, now_us);
+  out.name = shape->upstream_name;
+  return out;
+}
 
-  if (out.kind == STM_EXECUTE)
-    out.name = ses_shape_of (s, &s->statement)->upstream_name;
+static void
+ask_statement (struct plr *p, struct ses *s, const struct stm *statement,
+               struct lp after, int64_t now_us)
+{
   ctr_add (p->o.counters, CTR_STATEMENTS, 1);
   s->sent_us = now_us;
-  ul_ask (s->link, UL_STATEMENT, after, &out, s, now_us);
+  ul_ask (s->link, UL_STATEMENT, after, statement, s, now_us);
 }
 
 /* Opens a transaction, the caller's or the proxy's own around a read.  The
@@ -206,25 +216,19 @@
 send_on (struct plr *p, struct ses *s, const struct plc_need *need,
          int64_t now_us)
 {
-  const struct ses_shape *shape = NULL;
+  struct stm out = plr_sync_link (s, now_us);
 
-  if (s->statement.kind == STM_EXECUTE)
-    shape = ses_shape_of (s, &s->statement);
-  ul_sync_values (s->link, s->values, s->values_sum, now_us);
-  if (shape)
-    ul_sync_prepared (s->link, shape->id, shape->upstream_name, shape->writes,
-                      shape->text, now_us);
   if (s->work.transaction && !s->work.begun)
     {
       s->work.begun = true;
       begin_first (s, need, now_us);
     }
   else if (s->work.transaction)
-    ask_statement (p, s, nowhere, now_us);
+    ask_statement (p, s, &out, LP_NONE, now_us);
   else if (s->wrapped)
     {
-      ask_statement (p, s, nowhere, now_us);
-      ask_rollback (s->link, NULL, now_us);
+      ask_statement (p, s, &out, LP_NONE, now_us);
+      ask_rollback (s->link, now_us);
     }
   else if (need->leader && !s->writes)
     {
@@ -232,7 +236,7 @@
       begin_first (s, need, now_us);
     }
   else
-    ask_statement (p, s, need->floor, now_us);
+    ask_statement (p, s, &out, need->floor, now_us);
 }
 
 void
@@ -344,7 +348,7 @@
   if (link->state != STM_IDLE)
     {
       link->ending = true;
-      ask_rollback (link, NULL, now_us);
+      ask_rollback (link, now_us);
       return;
     }
   link->ending = false;
@@ -366,6 +370,6 @@
   ctr_add (p->o.counters, CTR_LINK_PROBES, 1);
   if (link->instance->question_us == 0)
     link->instance->question_us = now_us;
-  ul_ask (link, UL_BEGIN, nowhere, &begin, NULL, now_us);
-  ask_rollback (link, NULL, now_us);
+  ul_ask (link, UL_BEGIN, LP_NONE, &begin, NULL, now_us);
+  ask_rollback (link, now_us);
 }
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -100,10 +100,7 @@
   i->question_us = 0;
   i->open_after_us = now_us + SILENT_US;
   if (i->svc->leader == i)
-    {
-      i->svc->leader = NULL;
-      i->svc->leaderless_us = now_us;
-    }
+    svc_lose_leader (i->svc, now_us);
 }
 
 /* Asks I something that needs no slot; a new connection where none is free. */
@@ -225,8 +222,7 @@
 plr_detour (struct plr *p, const char *service, const char *instance,
             const char *vm, int64_t now_us)
 {
-  struct svc *s = g_hash_table_lookup (p->services, service);
-  struct svc_instance *i = s ? svc_find (s, instance) : NULL;
+  struct svc_instance *i = plr_find_instance (p, service, instance);
 
   if (!i || !(i->unresponsive || i->refused_us > 0)
       || now_us < i->detour_until_us)
@@ -245,8 +241,7 @@
 plr_yield (struct plr *p, const char *service, const char *instance,
            int64_t now_us)
 {
-  struct svc *s = g_hash_table_lookup (p->services, service);
-  struct svc_instance *i = s ? svc_find (s, instance) : NULL;
+  struct svc_instance *i = plr_find_instance (p, service, instance);
   struct ul *link = i ? plc_idle_link (i) : NULL;
 
   if (!i || !plr_has_surplus (i))
@@ -301,8 +296,7 @@
           EV_TEXT ("instance", s->leader->entry->id),
           EV_TEXT ("what", "not proved any more"),
           EV_INT ("proof_us", now_us - svc_proved_us (s)));
-      s->leader = NULL;
-      s->leaderless_us = now_us;
+      svc_lose_leader (s, now_us);
     }
   if (!s->leader)
     plr_seek_leader (p, s, now_us);
@@ -453,7 +447,6 @@
 plr_ask_status (struct plr *p, struct svc *s, int64_t now_us)
 {
   struct stm ask = { .kind = STM_STATUS };
-  struct lp nowhere = { 0 };
 
   for (guint n = 0; n < s->instances->len; n++)
     {
@@ -463,27 +456,19 @@
       if (!link)
         continue;
       ctr_add (p->o.counters, CTR_STATUS_ASKED, 1);
-      ul_ask (link, UL_STATUS, nowhere, &ask, NULL, now_us);
+      ul_ask (link, UL_STATUS, LP_NONE, &ask, NULL, now_us);
     }
 }
 
-void
-plr_seek (struct plr *p, struct svc *s, int64_t now_us)
-{
-  plr_seek_leader (p, s, now_us);
-}
-
 bool
-plr_step_down (struct plr *p, struct svc_instance *i, int64_t now_us)
+plr_step_down (struct svc_instance *i, int64_t now_us)
 {
-  struct lp nowhere = { 0 };
   struct ul *link = plc_idle_link (i);
   struct stm ask = { .kind = STM_STEP_DOWN };
 
-  (void)p;
   if (!link || !lp_is_known (i->received))
     return false;
   ask.term = i->status_term + 1;
-  ul_ask (link, UL_STEP_DOWN, nowhere, &ask, NULL, now_us);
+  ul_ask (link, UL_STEP_DOWN, LP_NONE, &ask, NULL, now_us);
   return true;
 }
--- a/packages/core/reason.c
+++ b/packages/core/reason.c
@@ -109,10 +109,34 @@
   return refusal_texts[refusal];
 }
 
+static void
+count (ctr_cell *cell, uint64_t n)
+{
+  atomic_fetch_add_explicit (cell, n, memory_order_relaxed);
+}
+
 void
 ctr_add (struct ctr_set *set, enum ctr counter, uint64_t n)
 {
-  atomic_fetch_add_explicit (&set->event[counter], n, memory_order_relaxed);
+  count (&set->event[counter], n);
+}
+
+void
+ctr_count_reason (struct ctr_set *set, enum rsn reason)
+{
+  count (&set->reason[reason], 1);
+}
+
+void
+ctr_count_retry (struct ctr_set *set, enum rsn_retry retry)
+{
+  count (&set->retry[retry], 1);
+}
+
+void
+ctr_count_refusal (struct ctr_set *set, enum rfs refusal)
+{
+  count (&set->refusal[refusal], 1);
 }
 
 uint64_t
--- a/packages/core/reason.h
+++ b/packages/core/reason.h
@@ -99,6 +99,10 @@
 const char *rfs_text (enum rfs refusal);
 
 void ctr_add (struct ctr_set *set, enum ctr counter, uint64_t n);
+/* Each counts one.  */
+void ctr_count_reason (struct ctr_set *set, enum rsn reason);
+void ctr_count_retry (struct ctr_set *set, enum rsn_retry retry);
+void ctr_count_refusal (struct ctr_set *set, enum rfs refusal);
 uint64_t ctr_get (const struct ctr_set *set, enum ctr counter);
 /* Counts one answered request of KIND that took LATENCY_US.  Called by one
    thread, the engine's.  */
--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -79,7 +79,6 @@
 {
   struct suc_options o;
   GHashTable *services; /* service -> struct suc_service * */
-  int64_t started_us;
 };
 
 static void
@@ -473,7 +472,7 @@
   else if (now_us - sv->since_us > SETTLE_US)
     calm_down (sv, 0, now_us);
   else
-    plr_seek (sv->suc->o.pooler, sv->svc, now_us);
+    plr_seek_leader (sv->suc->o.pooler, sv->svc, now_us);
 }
 
 static void
@@ -515,8 +514,6 @@
   GHashTableIter iter;
   gpointer name;
 
-  if (s->started_us == 0)
-    s->started_us = now_us;
   g_hash_table_iter_init (&iter, plr_services (s->o.pooler));
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
@@ -551,7 +548,7 @@
   sv->tries = 0;
   primary = primary_of (sv);
   if (sv->planned && primary && sv->svc->leader == primary
-      && plr_step_down (sv->suc->o.pooler, primary, now_us))
+      && plr_step_down (primary, now_us))
     enter (sv, STEPPING, now_us);
   else
     promote (sv, now_us);
--- a/packages/core/svc.c
+++ b/packages/core/svc.c
@@ -73,8 +73,6 @@
 void
 svc_remove (struct svc *s, struct svc_instance *instance)
 {
-  if (s->leader == instance)
-    s->leader = NULL;
   g_ptr_array_remove (s->instances, instance);
   free_instance (instance);
 }
@@ -131,6 +129,13 @@
   return changed;
 }
 
+void
+svc_lose_leader (struct svc *s, int64_t now_us)
+{
+  s->leader = NULL;
+  s->leaderless_us = now_us;
+}
+
 bool
 svc_note_denied (struct svc_instance *instance, int64_t now_us)
 {
@@ -139,8 +144,7 @@
   instance->denied_us = now_us;
   if (s->leader != instance)
     return false;
-  s->leader = NULL;
-  s->leaderless_us = now_us;
+  svc_lose_leader (s, now_us);
   return true;
 }
 
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -56,7 +56,6 @@
   struct lp position;      /* highest it has shown */
   struct lp received;      /* by its status, for the choice of a successor */
   uint32_t status_term;    /* its term by the same */
-  int64_t status_us;       /* when that status was heard */
   int64_t unfit_until_us;  /* its promotion failed */
   int64_t led_us;          /* question of the last proof that it leads */
   int64_t denied_us;       /* when it last said that it doesn't lead */
@@ -73,7 +72,6 @@
 {
   char *name;
   int32_t connections_max;
-  bool sync;
   GPtrArray *instances;        /* struct svc_instance * */
   struct svc_instance *leader; /* by the newest proof, NULL = unknown */
   int64_t leaderless_us;       /* since then; 0 while a leader is known */
@@ -91,13 +89,15 @@
 void svc_free (struct svc *s);
 struct svc_instance *svc_find (const struct svc *s, const char *id);
 struct svc_instance *svc_add (struct svc *s, const struct dir_instance *entry);
-/* Removes and frees INSTANCE, which must have no links left.  */
+/* Removes and frees INSTANCE, which must have no links left nor lead.  */
 void svc_remove (struct svc *s, struct svc_instance *instance);
 
 /* INSTANCE led at some moment after ASKED_US, with its log at POSITION.
    Returns true when this changed who leads.  */
 bool svc_note_lead (struct svc_instance *instance, int64_t asked_us,
                     struct lp position);
+/* Nobody is known to lead any more.  */
+void svc_lose_leader (struct svc *s, int64_t now_us);
 /* INSTANCE said that it doesn't lead.  Returns true when it was thought to. */
 bool svc_note_denied (struct svc_instance *instance, int64_t now_us);
 /* INSTANCE showed POSITION.  */
--- a/packages/core/uplink.c
+++ b/packages/core/uplink.c
@@ -4,8 +4,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-static const struct lp nowhere;
-
 struct ul *
 ul_new (struct ul_port *port, struct svc_instance *instance,
         const struct rly_vm *home, int64_t now_us)
@@ -116,7 +114,7 @@
 {
   struct stm s = { .kind = STM_RESET };
 
-  ul_ask (link, UL_SETUP, nowhere, &s, NULL, now_us);
+  ul_ask (link, UL_SETUP, LP_NONE, &s, NULL, now_us);
   if (link->values)
     g_hash_table_remove_all (link->values);
   link->values_sum = 0;
@@ -147,7 +145,7 @@
 {
   struct stm s = { .kind = STM_SET, .name = name, .args = value };
 
-  ul_ask (link, UL_SETUP, nowhere, &s, NULL, now_us);
+  ul_ask (link, UL_SETUP, LP_NONE, &s, NULL, now_us);
   if (!link->values)
     link->values
         = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -195,7 +193,7 @@
     link->prepared = g_hash_table_new (NULL, NULL);
   if (!g_hash_table_add (link->prepared, GUINT_TO_POINTER (id)))
     return;
-  ul_ask (link, UL_SETUP, nowhere, &s, NULL, now_us);
+  ul_ask (link, UL_SETUP, LP_NONE, &s, NULL, now_us);
 }
 
 void
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -77,23 +77,6 @@
                          - offsetof (struct gate, upstreams_port));
 }
 
-/* Cuts the next line, without its end, off DATA.  Returns the bytes used, 0
-   when there is no whole line.  */
-static size_t
-cut_line (char *data, size_t len, char **line, size_t *line_len)
-{
-  char *end = memchr (data, '\n', len);
-  size_t n;
-
-  if (!end)
-    return 0;
-  n = (size_t)(end - data);
-  *line = data;
-  *line_len = n > 0 && data[n - 1] == '\r' ? n - 1 : n;
-  data[*line_len] = '\0';
-  return n + 1;
-}
-
 /* Callers.  */
 
 static void
@@ -212,7 +195,7 @@
     {
       char *line;
       size_t line_len;
-      size_t n = cut_line (data + used, len - used, &line, &line_len);
+      size_t n = stream_cut_line (data + used, len - used, &line, &line_len);
 
       if (n == 0)
         break;
@@ -454,7 +437,7 @@
     {
       char *line;
       size_t line_len;
-      size_t n = cut_line (data + used, len - used, &line, &line_len);
+      size_t n = stream_cut_line (data + used, len - used, &line, &line_len);
 
       if (n == 0)
         break;
--- a/tests/fakes/lineserver.c
+++ b/tests/fakes/lineserver.c
@@ -137,17 +137,14 @@
   while (!c->gone && c->due_us == 0 && !c->server->faults.unresponsive
          && used < len)
     {
-      char *end = memchr (data + used, '\n', len - used);
-      size_t n;
+      char *line;
+      size_t line_len;
+      size_t n = stream_cut_line (data + used, len - used, &line, &line_len);
 
-      if (!end)
+      if (n == 0)
         break;
-      n = (size_t)(end - data) - used;
-      *end = '\0';
-      if (n > 0 && end[-1] == '\r')
-        end[-1] = '\0';
-      take_line (c, data + used, strlen (data + used));
-      used += n + 1;
+      used += n;
+      take_line (c, line, line_len);
     }
   return used;
 }
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -155,15 +155,14 @@
 
   while (c->stream && used < len)
     {
-      char *end = memchr (data + used, '\n', len - used);
+      char *line;
+      size_t line_len;
+      size_t n = stream_cut_line (data + used, len - used, &line, &line_len);
 
-      if (!end)
+      if (n == 0)
         break;
-      *end = '\0';
-      if (end > data + used && end[-1] == '\r')
-        end[-1] = '\0';
-      on_line (c, data + used, strlen (data + used));
-      used = (size_t)(end - data) + 1;
+      used += n;
+      on_line (c, line, line_len);
     }
   return used;
 }
