Overload: ranked queues, refusal of what can't be served in time

Statements wait by rank (priority, then the kind whose work is shorter than the average at the same instance and time; within a rank by the moment up to which the answer is of use); a home is told rank and patience. A statement is refused at once when the line ahead of it, or the age of the first of its own rank, says that it can't be in time, and only while the line flows: an outage is waited out, what it made late goes after the rest. Proxies keep three statements a slot at an instance, the rest wait where the urgent ones overtake. Homes hold at most half of an instance's connections. Also: links to homes are not limited by the load of the instance; time in a home's line is not taken for a lost answer; a copy that lacks positions is asked less and less often.

Ruled out: too few connections at the homes (eight each, all busy with running statements); the instance's own queue (110 ms at most).

--- a/packages/adapters/codec.h
+++ b/packages/adapters/codec.h
@@ -67,8 +67,10 @@
   /* To an upstream.  */
   void (*write_start) (const struct codec *codec, GString *out,
                        const struct dir_instance *instance);
+  /* TO_HOME: through another proxy, which is also told the urgency.  */
   void (*write_statement) (const struct codec *codec, GString *out,
-                           struct lp after, const struct stm *statement);
+                           bool to_home, struct lp after,
+                           const struct stm *statement);
   /* To a caller.  */
   void (*write_end) (const struct codec *codec, GString *out,
                      const struct stm_end *end);
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -12,12 +12,19 @@
 /* Connections to homes for one instance: statements that one proxy has under
    way there at once.  */
 #define REMOTE_LINKS_MAX 8
+/* All proxies that hold connections to an instance keep so many statements
+   there for each of its slots, so that no slot rests for a round trip, and each
+   of them at least one a slot; the others wait here, where the urgent ones
+   overtake.  */
+#define RUNNING_A_SLOT 3
 
 struct svc_limits
-plc_limits_for (int32_t connections_max, uint32_t n_vms,
-                const struct rly_homes *homes)
+plc_limits_for (const struct svc_instance *instance, int32_t connections_max,
+                uint32_t n_vms)
 {
-  struct svc_limits l;
+  const struct rly_homes *homes = &instance->homes;
+  struct svc_limits l = { .running = SVC_RUNNING_ANY };
+  uint32_t slots = (uint32_t)MAX (instance->entry->slots, 1);
   uint32_t max = connections_max > 0 ? (uint32_t)connections_max : 1;
 
   if (homes->direct)
@@ -26,13 +33,15 @@
       /* Borrowed room: a burst of one proxy uses what others leave idle.  */
       l.most = MIN (2 * l.share + 1, max);
       l.most = MAX (l.most, 2);
+      l.running = MAX (RUNNING_A_SLOT * slots / MAX (n_vms, 1), slots);
     }
   else if (homes->own)
     {
-      l.most = MAX (max / MAX (homes->n, 1), 1);
       /* The other half is free for the homes that come after a power loss,
          when the instance still counts the connections of those before.  */
-      l.share = MAX (l.most / 2, 1);
+      l.most = MAX (max / MAX (homes->n, 1) / 2, 1);
+      l.share = l.most;
+      l.running = MAX (RUNNING_A_SLOT * slots / MAX (homes->n, 1), slots);
     }
   else
     {
@@ -63,13 +72,33 @@
 static bool
 may_open (const struct svc_instance *i, int64_t now_us)
 {
+  bool costs_slot = i->homes.direct || i->homes.own;
+
   /* Where statements queue for slots another connection only takes one more
      for its handshake.  */
-  if (i->work_us > SATURATED_US && i->links->len >= MAX (i->limits.share, 1))
+  if (costs_slot && i->work_us > SATURATED_US
+      && i->links->len >= MAX (i->limits.share, 1))
     return false;
   return i->links->len < i->limits.most && now_us >= i->open_after_us;
 }
 
+/* True when new work may be started at I.  */
+static bool
+has_room (const struct svc_instance *i)
+{
+  uint32_t running = 0;
+
+  if (i->limits.running == SVC_RUNNING_ANY)
+    return true;
+  for (guint n = 0; n < i->links->len; n++)
+    {
+      const struct ul *link = g_ptr_array_index (i->links, n);
+
+      running += link->session && link->questions->len > 0 ? 1 : 0;
+    }
+  return running < i->limits.running;
+}
+
 static bool
 fits (const struct svc_instance *i, const struct plc_need *need,
       int64_t now_us)
@@ -116,7 +145,7 @@
         continue;
       if (best.verdict == PLC_NONE)
         best.verdict = PLC_WAIT;
-      if (now_us < i->busy_until_us)
+      if (now_us < i->busy_until_us || !has_room (i))
         continue;
       link = plc_idle_link (i);
       if (!link && !may_open (i, now_us))
@@ -132,11 +161,27 @@
   return best;
 }
 
+bool
+plc_has_other (const struct svc *s, const struct plc_need *need,
+               const struct svc_instance *except, int64_t now_us)
+{
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      const struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+      if (i != except && fits (i, need, now_us))
+        return true;
+    }
+  return false;
+}
+
 struct plc_choice
-plc_choose_at (struct svc_instance *instance, int64_t now_us)
+plc_choose_at (struct svc_instance *instance, bool needs_slot, int64_t now_us)
 {
   struct plc_choice c = { PLC_WAIT, instance, plc_idle_link (instance) };
 
+  if (needs_slot && !has_room (instance))
+    return c;
   if (c.link)
     c.verdict = PLC_USE;
   else if (may_open (instance, now_us))
--- a/packages/core/place.h
+++ b/packages/core/place.h
@@ -27,15 +27,19 @@
   struct ul *link;
 };
 
-/* Shares CONNECTIONS_MAX of an instance between N_VMS proxies that all go
-   directly, or between its homes.  */
-struct svc_limits plc_limits_for (int32_t connections_max, uint32_t n_vms,
-                                  const struct rly_homes *homes);
+/* Shares CONNECTIONS_MAX and the slots of INSTANCE between N_VMS proxies that
+   all go directly, or between its homes, which are up to date.  */
+struct svc_limits plc_limits_for (const struct svc_instance *instance,
+                                  int32_t connections_max, uint32_t n_vms);
 struct plc_choice plc_choose (const struct svc *s, const struct plc_need *need,
                               int64_t now_us);
-/* An idle connection to INSTANCE, else room for another one.  */
+/* True when an instance other than EXCEPT fits NEED.  */
+bool plc_has_other (const struct svc *s, const struct plc_need *need,
+                    const struct svc_instance *except, int64_t now_us);
+/* An idle connection to INSTANCE, else room for another one.  NEEDS_SLOT: the
+   statement, or one that follows it, needs a slot there.  */
 struct plc_choice plc_choose_at (struct svc_instance *instance,
-                                 int64_t now_us);
+                                 bool needs_slot, int64_t now_us);
 /* An idle connection to INSTANCE, or NULL.  */
 struct ul *plc_idle_link (const struct svc_instance *instance);
 
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -8,8 +8,12 @@
 /* Wait after an instance shed load: about half of one statement.  */
 #define BUSY_WAIT_US 4000
 #define BUSY_WAIT_MAX_US 40000
-/* A copy that lacked a position is not asked for it again before.  */
+/* After so many tries a read whose copy's home is overloaded is refused.  */
+#define OVERLOADED_TRIES 2
+/* A copy that lacked a position is not asked for it again before; twice as
+   long each time until it is abreast again.  */
 #define BEHIND_WAIT_US 60000
+#define BEHIND_WAIT_MAX_US 960000
 /* Wait before a statement that met no primary looks again.  */
 #define LEAD_WAIT_US 10000
 /* First and longest wait before the next connection to an instance that
@@ -193,6 +197,13 @@
       plr_retry (p, s, RETRY_UPSTREAM_BUSY,
                  s->tries % 3 == 2 ? busy_wait_us (s) : 0, now_us);
       break;
+    case SQC_OVERLOADED:
+      /* A home can't place it in time; another copy may.  */
+      if (s->tries < OVERLOADED_TRIES && plr_may_go_elsewhere (s, now_us))
+        plr_retry (p, s, RETRY_OVERLOADED_INSTANCE, 0, now_us);
+      else
+        plr_refuse (p, s, RFS_OVERLOADED, SQC_BUSY, now_us);
+      break;
     case SQC_BEHIND:
       s->tries_behind++;
       plr_retry (p, s, RETRY_COPY_BEHIND, 0, now_us);
@@ -211,8 +222,8 @@
 static bool
 is_not_run (enum sqc code)
 {
-  return code == SQC_BUSY || code == SQC_BEHIND || code == SQC_READ_ONLY
-         || code == SQC_NO_STATEMENT;
+  return code == SQC_BUSY || code == SQC_OVERLOADED || code == SQC_BEHIND
+         || code == SQC_READ_ONLY || code == SQC_NO_STATEMENT;
 }
 
 static enum rfs
@@ -299,7 +310,9 @@
                         &floor))
     return;
   i->behind = floor;
-  i->behind_until_us = now_us + BEHIND_WAIT_US;
+  i->behind_wait_us
+      = CLAMP (2 * i->behind_wait_us, BEHIND_WAIT_US, BEHIND_WAIT_MAX_US);
+  i->behind_until_us = now_us + i->behind_wait_us;
 }
 
 /* What the answer to a BEGIN says of the instance.  */
@@ -343,12 +356,17 @@
   struct ses *s = q->session;
   struct stm_end out = *end;
 
+  int64_t usual_us = i->round_trip_us + i->work_us;
+
   if (end->ok)
     svc_note_work (i, now_us - q->asked_us);
   if (!s)
     return;
   if (end->ok)
     {
+      i->behind_wait_us = 0;
+      ovl_note_work (&p->kinds, s->work.kind,
+                     now_us - q->asked_us - usual_us);
       if (s->writes && !s->work.transaction)
         plr_note_leader (p, i, q->asked_us, end->position, now_us);
       plr_succeed (p, s, &out, now_us);
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -199,7 +199,7 @@
   w->max_age_us = r->max_age_us;
   w->timeout_us = r->timeout_us;
   w->objective_us = r->objective_us;
-  w->priority = r->priority;
+  w->kind = ovl_find_kind (&p->kinds, r);
   return true;
 }
 
@@ -284,6 +284,12 @@
   s->writes = writes;
   s->stage = SES_SENT;
   s->sent_us = 0;
+  if (!s->relay_to)
+    {
+      s->rank = ovl_rank (&p->kinds, s->work.kind);
+      s->patience_us
+          = ovl_patience_us (&p->kinds, s->work.kind, s->work.transaction);
+    }
   g_queue_push_tail_link (&p->active, &s->active);
   plr_start (p, s, now_us);
 }
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -18,6 +18,7 @@
   GQueue active;      /* those with a statement under way */
   GPtrArray *dropped; /* links to free, struct ul * */
   struct rly_table vms;
+  struct ovl_kinds kinds;
   GHashTable *failed_homes; /* name -> int64_t *, not used before */
   bool directory_reachable;
   enum plr_drain drain;
@@ -95,7 +96,8 @@
 void plr_relay_answer (struct plr *p, struct ses *s, const struct stm_end *end,
                        int64_t now_us);
 /* What a relay session waited for can't be had: nothing was sent.  */
-void plr_relay_refuse (struct plr *p, struct ses *s, int64_t now_us);
+void plr_relay_refuse (struct plr *p, struct ses *s, enum sqc code,
+                       int64_t now_us);
 
 /* poolwatch.c */
 
@@ -114,9 +116,16 @@
 void plr_leave_queues (struct plr *p, struct ses *s);
 /* Ends the transaction or lone statement of S.  */
 void plr_end_work (struct ses *s);
+/* True when the statement of S may run on another instance than the one it
+   was sent to.  */
+bool plr_may_go_elsewhere (const struct ses *s, int64_t now_us);
+/* Refuses the statement of S, which waits, when it can't be served in time for
+   the load, and puts it off when it is late for an outage.  ENTERING: it has
+   just come to the queue.  */
+void plr_shed (struct plr *p, struct ses *s, bool entering, int64_t now_us);
 /* Puts S into the queue for a connection, and takes it out to be sent on
    LINK.  */
 void plr_wait (struct ses *s);
-void plr_hold (struct ses *s, struct ul *link);
+void plr_hold (struct ses *s, struct ul *link, int64_t now_us);
 
 #endif
--- a/packages/core/poolrelay.c
+++ b/packages/core/poolrelay.c
@@ -58,9 +58,10 @@
 }
 
 void
-plr_relay_refuse (struct plr *p, struct ses *s, int64_t now_us)
+plr_relay_refuse (struct plr *p, struct ses *s, enum sqc code, int64_t now_us)
 {
-  answer_own (p, s, false, SQC_BUSY, now_us);
+  ctr_add (p->o.counters, CTR_RELAY_REFUSED, 1);
+  answer_own (p, s, false, code, now_us);
 }
 
 static enum ul_purpose
@@ -98,6 +99,7 @@
 {
   struct svc_instance *i = target_of (p, s);
   struct plc_choice choice;
+  bool entering = s->stage != SES_WAITING;
 
   if (s->link)
     {
@@ -107,12 +109,16 @@
   plr_wait (s);
   if (!i || i->unresponsive)
     return; /* its time runs out, or the instance comes back */
-  choice = plc_choose_at (i, now_us);
+  choice = plc_choose_at (i, s->rank > 0, now_us);
   if (choice.verdict == PLC_OPEN && i->n_opening < 2)
     plr_open_link (p, i, now_us);
   if (choice.verdict != PLC_USE)
-    return;
-  plr_hold (s, choice.link);
+    {
+      if (entering)
+        plr_shed (p, s, true, now_us);
+      return;
+    }
+  plr_hold (s, choice.link, now_us);
   send_relay (p, s, now_us);
 }
 
@@ -148,6 +154,8 @@
     {
       s->work.svc = i->svc;
       s->work.timeout_us = RELAY_WAIT_US;
+      s->rank = statement->urgency.rank;
+      s->patience_us = (int64_t)statement->urgency.patience_ms * 1000;
       plr_take (p, s, statement, false, now_us);
     }
 }
@@ -160,6 +168,9 @@
   s->state = end->state;
   if (end->state == STM_IDLE)
     plr_release (p, s, now_us);
+  else if (s->link)
+    /* Its connection stays held, but has nothing to do for now.  */
+    plr_pump (p, s->link->instance->svc, now_us);
   ses_rest (s, now_us);
   plr_answer (p, s, end);
 }
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -50,7 +50,7 @@
         continue;
       rly_find_homes (&p->vms, i->entry, s->connections_max, &i->homes);
       i->limits
-          = plc_limits_for (s->connections_max, p->vms.vms->len, &i->homes);
+          = plc_limits_for (i, s->connections_max, p->vms.vms->len);
     }
 }
 
@@ -136,9 +136,9 @@
 static bool
 goes_before (const struct ses *x, const struct ses *y)
 {
-  if (x->work.priority != y->work.priority)
-    return x->work.priority < y->work.priority;
-  return x->arrived_us < y->arrived_us;
+  if (x->rank != y->rank)
+    return x->rank < y->rank;
+  return x->arrived_us + x->patience_us < y->arrived_us + y->patience_us;
 }
 
 void
@@ -190,13 +190,29 @@
   return out;
 }
 
+/* For a home that lets the statement of S wait in its own queue.  */
+static struct stm_urgency
+urgency_of (const struct ses *s, int64_t now_us)
+{
+  struct stm_urgency u = { .rank = s->rank };
+  int64_t left_us = s->patience_us - (now_us - s->arrived_us);
+
+  /* One that flows again after an outage is late in any case.  */
+  if (s->patience_us > 0 && left_us > 0)
+    u.patience_ms = (uint32_t)MAX (left_us / 1000, 1);
+  return u;
+}
+
 static void
 ask_statement (struct plr *p, struct ses *s, const struct stm *statement,
                struct lp after, int64_t now_us)
 {
+  struct stm out = *statement;
+
   ctr_add (p->o.counters, CTR_STATEMENTS, 1);
   s->sent_us = now_us;
-  ul_ask (s->link, UL_STATEMENT, after, statement, s, now_us);
+  out.urgency = urgency_of (s, now_us);
+  ul_ask (s->link, UL_STATEMENT, after, &out, s, now_us);
 }
 
 /* Opens a transaction, the caller's or the proxy's own around a read.  The
@@ -207,6 +223,7 @@
 {
   struct stm begin = { .kind = need->leader ? STM_BEGIN : STM_BEGIN_READ };
 
+  begin.urgency = urgency_of (s, now_us);
   s->sent_us = now_us;
   s->proving = true;
   ul_ask (s->link, UL_BEGIN, need->floor, &begin, s, now_us);
@@ -250,14 +267,98 @@
 }
 
 void
-plr_hold (struct ses *s, struct ul *link)
+plr_hold (struct ses *s, struct ul *link, int64_t now_us)
 {
+  struct svc *svc = link->instance->svc;
+
   stop_waiting (s);
+  ovl_note_start (&link->instance->flow, g_queue_get_length (&svc->waiting),
+                  now_us);
   s->link = link;
   link->session = s;
   link->instance->n_in_use++;
 }
 
+bool
+plr_may_go_elsewhere (const struct ses *s, int64_t now_us)
+{
+  struct plc_need need = need_of (s);
+
+  return plc_has_other (s->work.svc, &need, s->link->instance, now_us);
+}
+
+/* The flow of statements to where S waits to go, NULL when there is no such
+   place at present.  */
+static const struct ovl_flow *
+flow_for (const struct ses *s)
+{
+  const struct svc *svc = s->work.svc;
+  const struct ovl_flow *best = NULL;
+
+  if (s->relay_to)
+    {
+      const struct svc_instance *i = svc_find (svc, s->relay_to);
+
+      return i ? &i->flow : NULL;
+    }
+  if (need_of (s).leader)
+    return svc->leader ? &svc->leader->flow : NULL;
+  for (guint n = 0; n < svc->instances->len; n++)
+    {
+      const struct svc_instance *i = g_ptr_array_index (svc->instances, n);
+
+      if (!best || i->flow.started_us > best->started_us)
+        best = &i->flow;
+    }
+  return best;
+}
+
+/* Lets S go after those that can still be in time, once it can't.  */
+static void
+put_off (struct ses *s, int64_t now_us)
+{
+  if (s->patience_us == 0 || s->rank >= OVL_OVERDUE
+      || now_us - s->arrived_us < s->patience_us)
+    return;
+  stop_waiting (s);
+  s->rank += OVL_OVERDUE;
+  plr_wait (s);
+}
+
+void
+plr_shed (struct plr *p, struct ses *s, bool entering, int64_t now_us)
+{
+  struct ovl_queue q = { .flow = flow_for (s), .entering = entering };
+
+  if (!q.flow)
+    return;
+  for (const GList *l = s->work.svc->waiting.head; l && l->data != s;
+       l = l->next)
+    {
+      const struct ses *ahead = l->data;
+
+      q.n_ahead++;
+      if (ahead->rank == s->rank && q.oldest_us == 0)
+        q.oldest_us = now_us - ahead->arrived_us;
+    }
+  if (!ovl_is_hopeless (&q, s->patience_us, now_us - s->arrived_us, now_us))
+    {
+      put_off (s, now_us);
+      return;
+    }
+  EV (p->o.log, now_us, EV_OVERLOAD, EV_TEXT ("id", s->statement.id),
+      EV_TEXT ("service", s->work.svc->name),
+      EV_TEXT ("instance", s->relay_to ? s->relay_to : ""),
+      EV_INT ("rank", s->rank), EV_INT ("ahead", q.n_ahead),
+      EV_INT ("gap_us", q.flow->gap_us), EV_INT ("oldest_us", q.oldest_us),
+      EV_INT ("patience_us", s->patience_us),
+      EV_INT ("waited_us", now_us - s->arrived_us));
+  if (s->relay_to)
+    plr_relay_refuse (p, s, SQC_OVERLOADED, now_us);
+  else
+    plr_refuse (p, s, RFS_OVERLOADED, SQC_BUSY, now_us);
+}
+
 /* Opens another connection when those on the way won't do for all that
    wait.  */
 static void
@@ -273,6 +374,7 @@
   struct svc *svc = s->work.svc;
   struct plc_need need;
   struct plc_choice choice;
+  bool entering = s->stage != SES_WAITING;
 
   svc->wanted_us = now_us;
   plr_update_homes (p, svc);
@@ -299,8 +401,12 @@
   if (choice.verdict == PLC_OPEN)
     open_for_waiting (p, choice.instance, now_us);
   if (choice.verdict != PLC_USE)
-    return;
-  plr_hold (s, choice.link);
+    {
+      if (entering)
+        plr_shed (p, s, true, now_us);
+      return;
+    }
+  plr_hold (s, choice.link, now_us);
   s->proving = false;
   s->wrapped = false;
   s->retry_us = 0;
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -376,6 +376,10 @@
   int64_t usual_us = i->round_trip_us + LOST_FACTOR * i->work_us;
   int64_t limit_us = MAX (usual_us, LOST_MIN_US);
 
+  /* It may have waited at the home first.  */
+  if (s->link->home)
+    limit_us += s->patience_us;
+
   if (s->statement.kind == STM_COMMIT || (s->writes && !s->work.transaction)
       || s->link->questions->len == 0)
     return false;
@@ -392,10 +396,14 @@
     {
       /* The proxy that sent it keeps the time of what is under way.  */
       if (!sent && now_us - since_us > s->work.timeout_us)
-        plr_relay_refuse (p, s, now_us);
+        plr_relay_refuse (p, s, SQC_BUSY, now_us);
+      else if (s->stage == SES_WAITING)
+        plr_shed (p, s, false, now_us);
     }
   else if (now_us - since_us > s->work.timeout_us)
     plr_expire (p, s, now_us);
+  else if (s->stage == SES_WAITING)
+    plr_shed (p, s, false, now_us);
   else if (sent && is_answer_lost (s, now_us))
     plr_answer_lost (p, s, now_us);
   else if (sent && s->retry_us > 0 && now_us >= s->retry_us)
--- a/packages/core/session.h
+++ b/packages/core/session.h
@@ -50,7 +50,7 @@
   int64_t max_age_us;
   int64_t timeout_us;
   int64_t objective_us;
-  int32_t priority;
+  uint32_t kind;      /* of request, see ovl_find_kind */
 };
 
 struct ses
@@ -77,6 +77,8 @@
   int64_t arrived_us;
   int64_t sent_us;
   int64_t retry_us; /* not tried before */
+  uint32_t rank;    /* in the queue */
+  int64_t patience_us;
   uint32_t tries;
   uint32_t tries_behind; /* of these, copies that lacked the position */
   const struct svc_instance *avoid; /* lost or refused the last try */
--- a/packages/core/stm.h
+++ b/packages/core/stm.h
@@ -26,6 +26,13 @@
   STM_STEP_DOWN /* a primary of a term below TERM becomes a replica */
 };
 
+/* How a statement waits for a connection.  */
+struct stm_urgency
+{
+  uint32_t rank;        /* the lowest goes first */
+  uint32_t patience_ms; /* refused after waiting so long, 0 = its timeout */
+};
+
 /* One statement.  ID is NULL for one of the proxy's own.  NAME is the session
    value, or the prepared statement; ARGS
    is the rest of the text as the caller wrote it (item, item and data, value
@@ -37,6 +44,7 @@
   const char *name;
   const char *args;
   uint32_t term; /* of STM_STEP_DOWN */
+  struct stm_urgency urgency;
 };
 
 /* An instance's answer to STM_STATUS.  */
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -8,6 +8,7 @@
 #define CB_SVC_H
 
 #include "dir.h"
+#include "overload.h"
 #include "relay.h"
 #include "stm.h"
 
@@ -18,9 +19,13 @@
 
 struct svc;
 
+/* No limit to the statements that run at once.  */
+#define SVC_RUNNING_ANY UINT32_MAX
+
 /* How many connections this VM may have to one instance.  */
 struct svc_limits
 {
+  uint32_t running; /* statements sent there at once by new work */
   uint32_t share; /* kept open */
   uint32_t most;  /* for a short while */
 };
@@ -51,8 +56,10 @@
   int64_t round_trip_us;  /* smoothed, of questions free of queues */
   int64_t work_us;        /* smoothed, of statements, without the round trip */
   int64_t busy_until_us;  /* it shed load */
+  struct ovl_flow flow;   /* of statements that waited for it */
   struct lp behind;       /* it lacked this position ... */
   int64_t behind_until_us; /* ... and isn't asked for it before */
+  int64_t behind_wait_us;  /* that wait, 0 = it is abreast */
   struct lp position;      /* highest it has shown */
   struct lp received;      /* by its status, for the choice of a successor */
   uint32_t status_term;    /* its term by the same */
@@ -77,7 +84,7 @@
   int64_t leaderless_us;       /* since then; 0 while a leader is known */
   struct svc_sample samples[SVC_SAMPLES]; /* oldest first */
   uint32_t n_samples;
-  GQueue waiting;      /* struct ses *, by priority and arrival */
+  GQueue waiting;      /* struct ses *, by rank and arrival */
   int64_t wanted_us;   /* last time a session used it */
   int64_t probed_us;   /* last question for the lead */
   int64_t pressure_us; /* waiting was logged then */
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -313,8 +313,8 @@
   struct gate *g = gate_of_upstreams (port);
   struct up *u = handle;
 
-  g->o.codec->ops->write_statement (g->o.codec, stream_out (u->stream), after,
-                                    statement);
+  g->o.codec->ops->write_statement (g->o.codec, stream_out (u->stream),
+                                    u->link->home != NULL, after, statement);
 }
 
 static void
@@ -413,7 +413,9 @@
       return true;
     case CODEC_ERROR:
       u->end.ok = false;
-      u->end.code = m.code;
+      /* Only another proxy says that nothing ran for its load.  */
+      u->end.code = m.code == SQC_OVERLOADED && !u->link->home ? SQC_FAILED
+                                                               : m.code;
       g_free (u->text);
       u->text = g_strdup (m.text);
       return true;
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -244,7 +244,7 @@
   if (c->writes && c->state == STM_OPEN)
     g_ptr_array_add (c->open_writes, g_strdup (c->id));
   lin_codec ()->ops->write_statement (lin_codec (), stream_out (c->stream),
-                                      nowhere, &s);
+                                      false, nowhere, &s);
 }
 
 static void
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -160,8 +160,8 @@
       std::string line = text;
       struct codec_caller m = ReadCaller (line);
       GString *out = g_string_new (NULL);
-      lin_codec ()->ops->write_statement (lin_codec (), out, nowhere,
-                                          &m.statement);
+      lin_codec ()->ops->write_statement (lin_codec (), out, false,
+                                          nowhere, &m.statement);
       EXPECT_EQ (std::string (out->str), std::string (text) + "\r\n");
       g_string_free (out, TRUE);
     }
@@ -170,11 +170,49 @@
   read.id = "5c";
   read.args = "1a4";
   GString *out = g_string_new (NULL);
-  lin_codec ()->ops->write_statement (lin_codec (), out, { 3, 1207 }, &read);
+  lin_codec ()->ops->write_statement (lin_codec (), out, false, { 3, 1207 },
+                                      &read);
   EXPECT_STREQ (out->str, "QUERY 5c AFTER 3.1207 READ 1a4\r\n");
   g_string_free (out, TRUE);
 }
 
+TEST (Lines, AHomeIsToldTheUrgency)
+{
+  struct stm read = {};
+  read.kind = STM_READ;
+  read.args = "1a4";
+  read.urgency = { 18, 250 };
+  GString *out = g_string_new (NULL);
+  lin_codec ()->ops->write_statement (lin_codec (), out, true, { 3, 1207 },
+                                      &read);
+  EXPECT_STREQ (out->str, "QUERY - WITHIN 250 18 AFTER 3.1207 READ 1a4\r\n");
+  struct codec_caller m;
+  lin_codec ()->ops->read_relay (lin_codec (), out->str, out->len - 2, &m);
+  g_string_free (out, TRUE);
+  static const struct
+  {
+    const char *line;
+    enum stm_kind kind;
+    uint32_t patience_ms;
+    uint32_t rank;
+  } cases[] = {
+    { "QUERY - WITHIN 250 18 AFTER 3.1 READ 1a4", STM_READ, 250, 18 },
+    { "QUERY - WITHIN 0 0 BEGIN", STM_BEGIN, 0, 0 },
+    { "QUERY - BEGIN", STM_BEGIN, 0, 0 },
+    { "QUERY - WITHIN 250", STM_MALFORMED, 0, 0 },
+    { "QUERY - WITHIN 250 18", STM_MALFORMED, 250, 18 },
+    { "QUERY - WITHIN", STM_MALFORMED, 0, 0 },
+  };
+  for (const auto &c : cases)
+    {
+      std::string line = c.line;
+      lin_codec ()->ops->read_relay (lin_codec (), &line[0], line.size (), &m);
+      EXPECT_EQ (m.statement.kind, c.kind) << c.line;
+      EXPECT_EQ (m.statement.urgency.patience_ms, c.patience_ms) << c.line;
+      EXPECT_EQ (m.statement.urgency.rank, c.rank) << c.line;
+    }
+}
+
 TEST (Lines, StatusRows)
 {
   struct
@@ -482,18 +520,26 @@
     struct rly_homes homes; // generation, direct, own, n
     uint32_t share;
     uint32_t most;
+    uint32_t running; // of three slots
   } const cases[] = {
-    { 16, 9, { 1, true, false, 0, {} }, 1, 3 },
-    { 55, 7, { 1, true, false, 0, {} }, 7, 15 },
-    { 16, 1, { 1, true, false, 0, {} }, 16, 16 },
-    { 1, 1, { 1, true, false, 0, {} }, 1, 2 },
-    { 0, 0, { 1, true, false, 0, {} }, 1, 2 },
-    { 32, 59, { 1, false, true, 4, {} }, 4, 8 },
-    { 32, 59, { 1, false, false, 4, {} }, 1, 8 },
+    { 16, 9, { 1, true, false, 0, {} }, 1, 3, 3 },
+    { 55, 7, { 1, true, false, 0, {} }, 7, 15, 3 },
+    { 16, 1, { 1, true, false, 0, {} }, 16, 16, 9 },
+    { 1, 1, { 1, true, false, 0, {} }, 1, 2, 9 },
+    { 0, 0, { 1, true, false, 0, {} }, 1, 2, 9 },
+    { 32, 59, { 1, false, true, 4, {} }, 4, 8, 3 },
+    { 16, 59, { 1, false, true, 2, {} }, 4, 8, 4 },
+    { 32, 59, { 1, false, false, 4, {} }, 1, 8, SVC_RUNNING_ANY },
   };
+  struct dir_instance entry = {};
+  entry.slots = 3;
   for (const auto &c : cases)
     {
-      struct svc_limits l = plc_limits_for (c.max, c.vms, &c.homes);
+      struct svc_instance i = {};
+      i.entry = &entry;
+      i.homes = c.homes;
+      struct svc_limits l = plc_limits_for (&i, c.max, c.vms);
+      EXPECT_EQ (l.running, c.running) << c.max << " " << c.vms;
       EXPECT_EQ (l.share, c.share) << c.max << " " << c.vms;
       EXPECT_EQ (l.most, c.most) << c.max << " " << c.vms;
     }
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -164,8 +164,10 @@
   s.id = sent->statement.id ? sent->id.c_str () : nullptr;
   s.name = sent->statement.name ? sent->name.c_str () : nullptr;
   s.args = sent->statement.args ? sent->args.c_str () : nullptr;
-  if (work && w->Chance (w->faults.busy))
+  int64_t done_us = work ? w->DoneAt (u->instance, sent->id) : w->now_us;
+  if (done_us < 0 || (work && w->Chance (w->faults.busy)))
     {
+      done_us = w->now_us;
       memset (&end, 0, sizeof end);
       end.code = SQC_BUSY;
       end.state = u->conn->state;
@@ -177,8 +179,7 @@
     u->silent = true;
   if (u->silent)
     return;
-  int64_t at_us = w->now_us + (work ? w->faults.work_us : 0);
-  at_us = std::max (at_us, u->last_us);
+  int64_t at_us = std::max (done_us, u->last_us);
   u->last_us = at_us;
   int64_t delay_us = at_us - w->now_us + w->faults.round_trip_us / 2;
   if (work && w->Chance (w->faults.break_conn))
@@ -305,7 +306,6 @@
   r->reads = reads;
   r->max_age_us = max_age_us;
   r->timeout_us = 800000;
-  r->objective_us = 300000;
   return r;
 }
 } // namespace
@@ -374,6 +374,24 @@
   return unresponsive[u->instance->id] && !(u->via_home && homes_reach);
 }
 
+int64_t
+PoolWorld::DoneAt (const struct dbm_instance *i, const std::string &id)
+{
+  auto own = work_us.find (sender_databases[id]);
+  int64_t takes_us = own == work_us.end () ? faults.work_us : own->second;
+  std::vector<int64_t> &free_us = slots_us[i->id];
+
+  if (faults.slots == 0)
+    return now_us + takes_us;
+  free_us.resize (faults.slots);
+  auto slot = std::min_element (free_us.begin (), free_us.end ());
+  if (*slot - now_us
+      > (int64_t)faults.slot_queue * takes_us / (int64_t)faults.slots)
+    return -1;
+  *slot = std::max (*slot, now_us) + takes_us;
+  return *slot;
+}
+
 void
 PoolWorld::At (int64_t delay_us, std::function<void ()> fn)
 {
@@ -405,9 +423,10 @@
     const char *database;
     enum dir_reads reads;
     int64_t max_age_us;
-  } const routes[] = { { "fresh", DIR_READS_FRESH, 0 },
-                       { "bounded", DIR_READS_BOUNDED, 1500000 },
-                       { "own", DIR_READS_OWN, 2500000 } };
+    int64_t objective_us;
+  } const routes[] = { { "fresh", DIR_READS_FRESH, 0, 300000 },
+                       { "bounded", DIR_READS_BOUNDED, 1500000, 600000 },
+                       { "own", DIR_READS_OWN, 2500000, 500000 } };
 
   s->name = g_strdup ("stock");
   s->connections_max = 16;
@@ -415,7 +434,12 @@
   for (const auto &r : routes)
     if (std::find (dropped.begin (), dropped.end (), r.database)
         == dropped.end ())
-      dir_config_add_route (c, Route (r.database, r.reads, r.max_age_us));
+      {
+        struct dir_route *route = Route (r.database, r.reads, r.max_age_us);
+
+        route->objective_us = objectives ? r.objective_us : 0;
+        dir_config_add_route (c, route);
+      }
   c->transaction_idle_us = 3000000;
   plr_configure (pooler, c, now_us);
 }
@@ -483,6 +507,7 @@
     sender.own = c->in_transaction ? c->transaction_own : c->own;
   senders[c->id] = sender;
   sender_names[c->id] = c->name;
+  sender_databases[c->id] = c->database;
   c->write_sent = kind == STM_WRITE || executes_write;
   c->commit_sent = kind == STM_COMMIT;
   if (c->write_sent && c->in_transaction)
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -71,6 +71,8 @@
   double busy = 0;        // the instance sheds the statement
   int64_t work_us = 4000;
   int64_t round_trip_us = 2000;
+  uint32_t slots = 0;      // of each instance; 0: no statement waits for one
+  uint32_t slot_queue = 0; // that may wait for a slot, others are shed
 };
 
 // A port of the core's and the world it belongs to.
@@ -94,17 +96,21 @@
   GHashTable *vms;
   std::mt19937_64 random;
   Faults faults;
+  std::map<std::string, int64_t> work_us;   // by database, when not the same
+  std::map<std::string, std::vector<int64_t> > slots_us; // free from then on
   std::map<std::string, bool> unresponsive; // instance id -> answers nobody
   std::map<std::string, bool> refused; // instance id -> refuses connections
   std::vector<std::unique_ptr<UpConn> > ups;
   std::vector<std::unique_ptr<Caller> > callers;
   std::map<std::string, struct dbm_sender> senders; // by statement id
   std::map<std::string, std::string> sender_names;
+  std::map<std::string, std::string> sender_databases;
   std::vector<std::string> log_lines;
   int64_t now_us = 1000000;
   uint64_t serial = 0;
   uint64_t revision = 10;
   bool store_up = true;
+  bool objectives = true; // the routes have latency objectives
   bool homes_reach
       = false; // other proxies reach what is unresponsive for this one
   uint32_t votes_reached = 0;
@@ -141,6 +147,8 @@
   std::string Ask (Caller *c, enum stm_kind kind, const char *name = nullptr,
                    const char *args = nullptr, int64_t limit_us = 10000000);
   bool IsUnresponsive (const UpConn *u);
+  // When work that arrives now at I is done; negative when I sheds it.
+  int64_t DoneAt (const struct dbm_instance *i, const std::string &id);
   bool Chance (double p);
   uint64_t
   Counter (enum ctr c)
