--- /dev/null
+++ b/packages/core/backoff.c
@@ -0,0 +1,10 @@
+/* Exponential backoff.  */
+#include "backoff.h"
+
+#include <glib.h>
+
+int64_t
+bko_next (struct bko_range range, int64_t last_us)
+{
+  return CLAMP (2 * last_us, range.first_us, range.most_us);
+}
--- /dev/null
+++ b/packages/core/backoff.h
@@ -0,0 +1,18 @@
+/* Exponential backoff.  */
+#ifndef CB_BACKOFF_H
+#define CB_BACKOFF_H
+
+#include <stdint.h>
+
+/* Bounds of the wait between two tries, in microseconds.  */
+struct bko_range
+{
+  int64_t first_us;
+  int64_t most_us;
+};
+
+/* The wait after the one of LAST_US, which is 0 before the first: twice as
+   long, within RANGE.  */
+int64_t bko_next (struct bko_range range, int64_t last_us);
+
+#endif
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -1,6 +1,8 @@
 /* Answers of upstreams and what they mean for the session; losses.  */
 #include "poolerint.h"
 
+#include "backoff.h"
+
 /* Tries of one statement before its error is passed on.  */
 #define TRIES_MAX 40
 /* Tries of a read that ran and failed.  */
@@ -12,14 +14,12 @@
 #define OVERLOADED_TRIES 2
 /* A copy that lacked a position is not asked for it again before; twice as
    long each time until it is abreast again.  */
-#define BEHIND_WAIT_US 60000
-#define BEHIND_WAIT_MAX_US 960000
+static const struct bko_range behind_wait = { 60000, 960000 };
 /* Wait before a statement that met no primary looks again.  */
 #define LEAD_WAIT_US 10000
 /* First and longest wait before the next connection to an instance that
    refused one.  */
-#define OPEN_BACKOFF_US 50000
-#define OPEN_BACKOFF_MAX_US 800000
+static const struct bko_range open_backoff = { 50000, 800000 };
 /* A full instance frees a connection when another proxy trims one.  */
 #define LIMIT_BACKOFF_US 200000
 /* One that this proxy has no connection to at all is tried again sooner.  */
@@ -310,8 +310,7 @@
                         &floor))
     return;
   i->behind = floor;
-  i->behind_wait_us
-      = CLAMP (2 * i->behind_wait_us, BEHIND_WAIT_US, BEHIND_WAIT_MAX_US);
+  i->behind_wait_us = bko_next (behind_wait, i->behind_wait_us);
   i->behind_until_us = now_us + i->behind_wait_us;
 }
 
@@ -493,8 +492,7 @@
 static void
 back_off (struct svc_instance *i, int64_t now_us)
 {
-  i->open_backoff_us
-      = CLAMP (2 * i->open_backoff_us, OPEN_BACKOFF_US, OPEN_BACKOFF_MAX_US);
+  i->open_backoff_us = bko_next (open_backoff, i->open_backoff_us);
   i->open_after_us = now_us + i->open_backoff_us;
 }
 
