The right to promote is taken in calm, so that one proxy can act without the store

Cause: a first promotion needed the store.

Change: the first proxy by rank takes the claim on each service in calm, and another one takes it over when the holder is gone for 4 s. The holder claims anew for each promotion, so that a late call with an older token is refused; when the store hasn't answered for 400 ms it acts by the claim it has.

--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -21,6 +21,14 @@
 /* A primary that stepped down is caught up with within: several times the
    usual lag.  */
 #define CATCH_UP_US 400000
+/* In calm a claim is taken over from a proxy that is gone for so long: more
+   than a restart takes.  */
+#define HOLDER_GONE_US 4000000
+/* Before the next try to take a claim in calm.  */
+#define STANDING_PAUSE_US 2000000
+/* The store's answer to a claim is waited for so long by a proxy that can
+   promote by the claim it has.  */
+#define CLAIM_WAIT_US 400000
 /* Another proxy that holds a fresh claim is given this time to act.  */
 #define OTHERS_US 1800000
 /* Proxies act one after the other, so that mostly one claims.  */
@@ -46,6 +54,7 @@
   CALM,
   ASKING,
   SURVEYING,
+  CLAIMING_IN_CALM,
   CLAIMING,
   STEPPING,
   PROMOTING,
@@ -68,6 +77,9 @@
   uint64_t claim;   /* revision it stands at, 0 = none */
   int64_t claim_us; /* when that was learned */
   bool claim_is_own;
+  char *holder;            /* proxy that took the claim, NULL = unknown */
+  int64_t holder_gone_us;  /* it isn't listed since then, 0 = it is */
+  int64_t standing_due_us; /* no claim is taken in calm before */
   uint64_t token;
   uint32_t tries;
   struct suc_votes votes;
@@ -88,6 +100,7 @@
 
   g_free (sv->primary);
   g_free (sv->target);
+  g_free (sv->holder);
   g_free (sv);
 }
 
@@ -363,12 +376,45 @@
   return e->candidates == 0 && suc_judge (&with) != SUC_KEEP;
 }
 
+/* True when this proxy is to take the claim though nothing is wrong.  */
+static bool
+is_claim_free (struct suc_service *sv, GHashTable *vms, int64_t now_us)
+{
+  if (sv->holder && g_hash_table_contains (vms, sv->holder))
+    {
+      sv->holder_gone_us = 0;
+      return false;
+    }
+  if (sv->holder && sv->holder_gone_us == 0)
+    sv->holder_gone_us = now_us;
+  if (sv->holder && now_us - sv->holder_gone_us < HOLDER_GONE_US)
+    return false;
+  return now_us >= sv->standing_due_us
+         && rank_of (sv->suc, sv->svc->name, vms) == 0;
+}
+
+static void
+take_standing_claim (struct suc_service *sv, int64_t now_us)
+{
+  struct suc *s = sv->suc;
+
+  sv->standing_due_us = now_us + STANDING_PAUSE_US;
+  enter (sv, CLAIMING_IN_CALM, now_us);
+  s->o.port->ops->claim (s->o.port, sv->svc->name, sv->claim, "");
+}
+
 static void
 on_calm (struct suc_service *sv, const struct suc_evidence *e, GHashTable *vms,
          int64_t now_us)
 {
   enum suc_verdict verdict = suc_judge (e);
 
+  if (verdict == SUC_KEEP && e->proved && is_claim_free (sv, vms, now_us))
+    {
+      take_standing_claim (sv, now_us);
+      return;
+    }
+
   if (lacks_candidates (e))
     plr_seek_candidates (sv->suc->o.pooler, sv->svc, now_us);
   if (verdict == SUC_KEEP)
@@ -475,6 +521,21 @@
     }
 }
 
+static void
+act (struct suc_service *sv, uint64_t token, int64_t now_us)
+{
+  struct svc_instance *primary;
+
+  sv->token = token;
+  sv->tries = 0;
+  primary = primary_of (sv);
+  if (sv->planned && primary && sv->svc->leader == primary
+      && plr_step_down (primary, now_us))
+    enter (sv, STEPPING, now_us);
+  else
+    promote (sv, now_us);
+}
+
 static void
 on_settling (struct suc_service *sv, int64_t now_us)
 {
@@ -516,6 +577,10 @@
       on_settling (sv, now_us);
       break;
     case CLAIMING:
+      if (sv->claim_is_own && now_us - sv->since_us > CLAIM_WAIT_US)
+        act (sv, sv->claim, now_us);
+      break;
+    case CLAIMING_IN_CALM:
     case PROMOTING:
       break; /* the port reports the end */
     }
@@ -550,21 +615,9 @@
   sv->claim = revision;
   sv->claim_us = now_us;
   sv->claim_is_own = strcmp (vm, s->o.vm) == 0;
-}
-
-static void
-act (struct suc_service *sv, uint64_t token, int64_t now_us)
-{
-  struct svc_instance *primary;
-
-  sv->token = token;
-  sv->tries = 0;
-  primary = primary_of (sv);
-  if (sv->planned && primary && sv->svc->leader == primary
-      && plr_step_down (primary, now_us))
-    enter (sv, STEPPING, now_us);
-  else
-    promote (sv, now_us);
+  g_free (sv->holder);
+  sv->holder = g_strdup (vm);
+  sv->holder_gone_us = 0;
 }
 
 void
@@ -578,6 +631,13 @@
       EV_TEXT ("outcome", token > 0 ? "won"
                           : settled ? "taken by another"
                                     : "the store did not answer"));
+  if (sv->state == CLAIMING_IN_CALM)
+    {
+      if (token > 0)
+        suc_note_claim (s, service, s->o.vm, token, now_us);
+      enter (sv, CALM, now_us);
+      return;
+    }
   if (sv->state != CLAIMING)
     return;
   if (token > 0)
--- a/packages/core/succeed.h
+++ b/packages/core/succeed.h
@@ -5,9 +5,9 @@
    since one broken link is no reason.  The right to act is a claim in the
    platform's store, taken by compare-and-swap; its revision is the fencing
    token of the promotion, so it rises with each claim and two proxies never
-   share one.  The claim stands until another proxy takes it: no lease has to
-   be renewed, and a proxy that promoted before can do so again while the store
-   is away.  A first promotion needs the store.  */
+   share one.  The claim stands until another proxy takes it, and no lease has
+   to be renewed.  In calm the first proxy by rank takes the claim on each
+   service, so that one is there that can promote while the store is away.  */
 #ifndef CB_SUCCEED_H
 #define CB_SUCCEED_H
 
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -234,6 +234,8 @@
   (void)known;
   (void)instance;
   w->claims++;
+  if (w->store_silent)
+    return;
   w->At (10000, [w, name] {
     uint64_t token = w->store_up ? ++w->revision : 0;
     suc_claimed (w->suc, name.c_str (), token, w->store_up, w->now_us);
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -110,7 +110,8 @@
   uint64_t serial = 0;
   uint64_t revision = 10;
   bool store_up = true;
-  bool objectives = true; // the routes have latency objectives
+  bool store_silent = false; // claims are not answered
+  bool objectives = true;    // the routes have latency objectives
   bool homes_reach
       = false; // other proxies reach what is unresponsive for this one
   uint32_t votes_reached = 0;
