Only a load that lasts is refused early; a starving kind is told at once

And under a load that lasts a kind that starves was let in again and again until the first of it had waited half of its patience.

Change: a queue counts as load once it was never empty for a second. After one of a rank was refused for its wait, newcomers of it are refused at once as long as one waits to see when that ends. What refuses stands in a file of its own, poolshed.c.

--- a/packages/core/overload.c
+++ b/packages/core/overload.c
@@ -18,6 +18,9 @@
    doesn't flow: longer than the longest usual statement.  */
 #define PAUSE_GAPS 8
 #define PAUSE_US 60000
+/* A queue that is never empty for so long stands for a load that lasts: what a
+   promotion or a burst leaves is served sooner.  */
+#define STANDING_US 1000000
 
 uint32_t
 ovl_find_kind (struct ovl_kinds *k, const struct dir_route *route)
@@ -85,17 +88,36 @@
 }
 
 void
-ovl_note_start (struct ovl_flow *f, uint32_t n_waiting, int64_t now_us)
+ovl_note_start (struct ovl_flow *f, uint32_t rank, uint32_t n_waiting,
+                int64_t now_us)
 {
+  if (rank >= f->starved)
+    f->starved = 0;
   if (is_paused (f, now_us))
     f->steady_us = now_us;
   /* Between two starts without a backlog the queue was empty for a while.  */
   else if (f->backlog)
     f->gap_us += (now_us - f->started_us - f->gap_us) / GAP_SMOOTHING;
+  if (!f->backlog || f->steady_us == now_us)
+    f->full_us = now_us;
   f->started_us = now_us;
   f->backlog = n_waiting > 0;
 }
 
+void
+ovl_note_starved (struct ovl_flow *f, uint32_t rank)
+{
+  if (f->starved == 0 || rank < f->starved)
+    f->starved = rank;
+}
+
+static bool
+is_starved (const struct ovl_queue *q)
+{
+  return q->flow->starved > 0 && q->rank >= q->flow->starved
+         && q->oldest_us > 0;
+}
+
 bool
 ovl_is_hopeless (const struct ovl_queue *q, int64_t patience_us,
                  int64_t waited_us, int64_t now_us)
@@ -103,13 +125,14 @@
   int64_t left_us = patience_us - waited_us;
 
   if (patience_us == 0 || is_paused (q->flow, now_us)
-      || now_us - waited_us < q->flow->steady_us)
+      || now_us - waited_us < q->flow->steady_us
+      || now_us - q->flow->full_us < STANDING_US)
     return false;
   if (left_us <= 0)
     return true;
   /* Those that came before it and aren't served halfway through what it can
      wait: it won't be served either.  */
   return q->entering
-         && (q->n_ahead * q->flow->gap_us > left_us
+         && (is_starved (q) || q->n_ahead * q->flow->gap_us > left_us
              || q->oldest_us > patience_us / 2);
 }
--- a/packages/core/overload.h
+++ b/packages/core/overload.h
@@ -51,25 +51,33 @@
 {
   int64_t started_us; /* a statement last left the queue to run, 0 = never */
   int64_t steady_us;  /* statements left without a pause since then */
+  int64_t full_us;    /* and the queue was never empty since then */
   int64_t gap_us;     /* smoothed time between two that left */
   bool backlog;       /* statements stayed behind then */
+  uint32_t starved; /* the lowest rank refused since one of it left, 0 = none;
+                       a single statement of it waits, to see when that ends */
 };
 
-/* A statement leaves the queue to run; N_WAITING stay behind.  */
-void ovl_note_start (struct ovl_flow *f, uint32_t n_waiting, int64_t now_us);
+/* A statement of RANK leaves the queue to run; N_WAITING stay behind.  */
+void ovl_note_start (struct ovl_flow *f, uint32_t rank, uint32_t n_waiting,
+                     int64_t now_us);
+/* A statement of RANK was refused after it had waited.  */
+void ovl_note_starved (struct ovl_flow *f, uint32_t rank);
 
 /* The queue as a new or waiting statement sees it.  */
 struct ovl_queue
 {
   const struct ovl_flow *flow;
-  bool entering;     /* the statement has just come to it */
+  uint32_t rank;     /* of the statement */
+  bool entering;     /* it has just come to the queue */
   uint32_t n_ahead;  /* that go before it */
   int64_t oldest_us; /* how long the first of its own rank has waited */
 };
 
 /* True when a statement of PATIENCE_US that has waited for WAITED_US can't be
-   served in time for the load.  Never for an outage, when nothing flows: it
-   may end at any moment.  */
+   served in time for a load that lasts.  Never for an outage, when nothing
+   flows: it may end at any moment; nor for the short queue that an outage or a
+   burst leaves: a late answer is better than none.  */
 bool ovl_is_hopeless (const struct ovl_queue *q, int64_t patience_us,
                       int64_t waited_us, int64_t now_us);
 
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -1,7 +1,8 @@
 /* Internals of the pooler, shared by its parts: pooler.c (sessions and
    statements), pooldir.c (configuration and instances), poolwatch.c (probes
    and time limits), poolrelay.c (statements of other proxies), poolend.c
-   (answers and losses), poolrun.c (placing and sending).  */
+   (answers and losses), poolrun.c (placing and sending), poolshed.c (refusing
+   under load).  */
 #ifndef CB_POOLERINT_H
 #define CB_POOLERINT_H
 
@@ -28,6 +29,9 @@
 
 /* poolrun.c */
 
+/* What the work of S needs.  Without a proof that reaches far enough back, or
+   when copies lack the position, only the primary will do.  */
+struct plc_need plr_need_of (const struct ses *s);
 /* Looks for a place for the statement of S and sends it, or lets it wait.  */
 void plr_start (struct plr *p, struct ses *s, int64_t now_us);
 /* Sends the statement of S on the connection it holds.  */
@@ -54,6 +58,13 @@
 /* Asks the instance whether it leads (or lives), free of queues.  */
 void plr_probe (struct plr *p, struct ul *link, bool lead, int64_t now_us);
 
+/* poolshed.c */
+
+/* Refuses the statement of S, which waits, when it can't be served in time for
+   the load, and puts it off when it is late for an outage.  ENTERING: it has
+   just come to the queue.  */
+void plr_shed (struct plr *p, struct ses *s, bool entering, int64_t now_us);
+
 /* poolend.c */
 
 /* Answers the statement of S with a success.  */
@@ -119,13 +130,10 @@
 /* True when the statement of S may run on another instance than the one it
    was sent to.  */
 bool plr_may_go_elsewhere (const struct ses *s, int64_t now_us);
-/* Refuses the statement of S, which waits, when it can't be served in time for
-   the load, and puts it off when it is late for an outage.  ENTERING: it has
-   just come to the queue.  */
-void plr_shed (struct plr *p, struct ses *s, bool entering, int64_t now_us);
 /* Puts S into the queue for a connection, and takes it out to be sent on
    LINK.  */
 void plr_wait (struct ses *s);
+void plr_stop_waiting (struct ses *s);
 void plr_hold (struct ses *s, struct ul *link, int64_t now_us);
 
 #endif
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -22,8 +22,8 @@
 
 /* What the work of S needs.  Without a proof that reaches far enough back, or
    when copies lack the position, only the primary will do.  */
-static struct plc_need
-need_of (const struct ses *s)
+struct plc_need
+plr_need_of (const struct ses *s)
 {
   const struct ses_work *w = &s->work;
   struct plc_need need = { 0 };
@@ -157,8 +157,8 @@
     g_queue_push_head_link (q, &s->waiting);
 }
 
-static void
-stop_waiting (struct ses *s)
+void
+plr_stop_waiting (struct ses *s)
 {
   if (s->stage == SES_WAITING)
     g_queue_unlink (&s->work.svc->waiting, &s->waiting);
@@ -258,7 +258,7 @@
 void
 plr_send (struct plr *p, struct ses *s, int64_t now_us)
 {
-  struct plc_need need = need_of (s);
+  struct plc_need need = plr_need_of (s);
 
   s->proving = false;
   s->stage = SES_SENT;
@@ -270,9 +270,9 @@
 {
   struct svc *svc = link->instance->svc;
 
-  stop_waiting (s);
-  ovl_note_start (&link->instance->flow, g_queue_get_length (&svc->waiting),
-                  now_us);
+  plr_stop_waiting (s);
+  ovl_note_start (&link->instance->flow, s->rank,
+                  g_queue_get_length (&svc->waiting), now_us);
   s->link = link;
   link->session = s;
   link->instance->n_in_use++;
@@ -281,83 +281,11 @@
 bool
 plr_may_go_elsewhere (const struct ses *s, int64_t now_us)
 {
-  struct plc_need need = need_of (s);
+  struct plc_need need = plr_need_of (s);
 
   return plc_has_other (s->work.svc, &need, s->link->instance, now_us);
 }
 
-/* The flow of statements to where S waits to go, NULL when there is no such
-   place at present.  */
-static const struct ovl_flow *
-flow_for (const struct ses *s)
-{
-  const struct svc *svc = s->work.svc;
-  const struct ovl_flow *best = NULL;
-
-  if (s->relay_to)
-    {
-      const struct svc_instance *i = svc_find (svc, s->relay_to);
-
-      return i ? &i->flow : NULL;
-    }
-  if (need_of (s).leader)
-    return svc->leader ? &svc->leader->flow : NULL;
-  for (guint n = 0; n < svc->instances->len; n++)
-    {
-      const struct svc_instance *i = g_ptr_array_index (svc->instances, n);
-
-      if (!best || i->flow.started_us > best->started_us)
-        best = &i->flow;
-    }
-  return best;
-}
-
-/* Lets S go after those that can still be in time, once it can't.  */
-static void
-put_off (struct ses *s, int64_t now_us)
-{
-  if (s->patience_us == 0 || s->rank >= OVL_OVERDUE
-      || now_us - s->arrived_us < s->patience_us)
-    return;
-  stop_waiting (s);
-  s->rank += OVL_OVERDUE;
-  plr_wait (s);
-}
-
-void
-plr_shed (struct plr *p, struct ses *s, bool entering, int64_t now_us)
-{
-  struct ovl_queue q = { .flow = flow_for (s), .entering = entering };
-
-  if (!q.flow)
-    return;
-  for (const GList *l = s->work.svc->waiting.head; l && l->data != s;
-       l = l->next)
-    {
-      const struct ses *ahead = l->data;
-
-      q.n_ahead++;
-      if (ahead->rank == s->rank && q.oldest_us == 0)
-        q.oldest_us = now_us - ahead->arrived_us;
-    }
-  if (!ovl_is_hopeless (&q, s->patience_us, now_us - s->arrived_us, now_us))
-    {
-      put_off (s, now_us);
-      return;
-    }
-  EV (p->o.log, now_us, EV_OVERLOAD, EV_TEXT ("id", s->statement.id),
-      EV_TEXT ("service", s->work.svc->name),
-      EV_TEXT ("instance", s->relay_to ? s->relay_to : ""),
-      EV_INT ("rank", s->rank), EV_INT ("ahead", q.n_ahead),
-      EV_INT ("gap_us", q.flow->gap_us), EV_INT ("oldest_us", q.oldest_us),
-      EV_INT ("patience_us", s->patience_us),
-      EV_INT ("waited_us", now_us - s->arrived_us));
-  if (s->relay_to)
-    plr_relay_refuse (p, s, SQC_OVERLOADED, now_us);
-  else
-    plr_refuse (p, s, RFS_OVERLOADED, SQC_BUSY, now_us);
-}
-
 /* Opens another connection when those on the way won't do for all that
    wait.  */
 static void
@@ -390,7 +318,7 @@
   plr_wait (s);
   if (now_us < s->retry_us)
     return;
-  need = need_of (s);
+  need = plr_need_of (s);
   if (need.leader && !svc->leader)
     plr_seek_leader (p, svc, now_us);
   choice = plc_choose (svc, &need, now_us);
--- /dev/null
+++ b/packages/core/poolshed.c
@@ -0,0 +1,77 @@
+/* Refusing and putting off what waits under load: core/overload.h decides.  */
+#include "poolerint.h"
+
+/* The flow of statements to where S waits to go, NULL when there is no such
+   place at present.  */
+static struct ovl_flow *
+flow_for (const struct ses *s)
+{
+  struct svc *svc = s->work.svc;
+  struct ovl_flow *best = NULL;
+
+  if (s->relay_to)
+    {
+      struct svc_instance *i = svc_find (svc, s->relay_to);
+
+      return i ? &i->flow : NULL;
+    }
+  if (plr_need_of (s).leader)
+    return svc->leader ? &svc->leader->flow : NULL;
+  for (guint n = 0; n < svc->instances->len; n++)
+    {
+      struct svc_instance *i = g_ptr_array_index (svc->instances, n);
+
+      if (!best || i->flow.started_us > best->started_us)
+        best = &i->flow;
+    }
+  return best;
+}
+
+/* Lets S go after those that can still be in time, once it can't.  */
+static void
+put_off (struct ses *s, int64_t now_us)
+{
+  if (s->patience_us == 0 || s->rank >= OVL_OVERDUE
+      || now_us - s->arrived_us < s->patience_us)
+    return;
+  plr_stop_waiting (s);
+  s->rank += OVL_OVERDUE;
+  plr_wait (s);
+}
+
+void
+plr_shed (struct plr *p, struct ses *s, bool entering, int64_t now_us)
+{
+  struct ovl_flow *flow = flow_for (s);
+  struct ovl_queue q = { .flow = flow, .rank = s->rank, .entering = entering };
+
+  if (!flow)
+    return;
+  for (const GList *l = s->work.svc->waiting.head; l && l->data != s;
+       l = l->next)
+    {
+      const struct ses *ahead = l->data;
+
+      q.n_ahead++;
+      if (ahead->rank == s->rank && q.oldest_us == 0)
+        q.oldest_us = now_us - ahead->arrived_us;
+    }
+  if (!ovl_is_hopeless (&q, s->patience_us, now_us - s->arrived_us, now_us))
+    {
+      put_off (s, now_us);
+      return;
+    }
+  if (!entering)
+    ovl_note_starved (flow, s->rank);
+  EV (p->o.log, now_us, EV_OVERLOAD, EV_TEXT ("id", s->statement.id),
+      EV_TEXT ("service", s->work.svc->name),
+      EV_TEXT ("instance", s->relay_to ? s->relay_to : ""),
+      EV_INT ("rank", s->rank), EV_INT ("ahead", q.n_ahead),
+      EV_INT ("gap_us", q.flow->gap_us), EV_INT ("oldest_us", q.oldest_us),
+      EV_INT ("patience_us", s->patience_us),
+      EV_INT ("waited_us", now_us - s->arrived_us));
+  if (s->relay_to)
+    plr_relay_refuse (p, s, SQC_OVERLOADED, now_us);
+  else
+    plr_refuse (p, s, RFS_OVERLOADED, SQC_BUSY, now_us);
+}
