Proxies with few connections each go through homes, also when they are few

Cause: nine proxies shared the 16 connections of each Imena instance directly. After a loss of power the instances counted those before for 3 s: every proxy met full instances (connection_limit 200 times in 1.5 s) and served almost nothing; in calm each had one connection, and transactions waited for each other.

Change: direct connections need four of them for each proxy (and at most 24 proxies). Imena's nine now go through two homes an instance; Suva's seven have seven each and stay direct.

AFullInstanceIsSharedByYielding plays on four proxies instead of nine, since nine go through homes now; it checks the same steps.

--- a/packages/core/relay.c
+++ b/packages/core/relay.c
@@ -11,6 +11,10 @@
 /* With more proxies each sees too little of the load to put the urgent
    statements first; a few homes see enough.  */
 #define DIRECT_VMS_MAX 24
+/* Nor with fewer connections for each: two for transactions side by side, and
+   as many that are free after a power loss, when the instance still counts
+   those before.  */
+#define DIRECT_LINKS_MIN 4
 /* A proxy that doesn't say what it can carry.  */
 #define CAPACITY_DEFAULT 0.25
 
@@ -125,6 +129,15 @@
   scores[at] = score;
 }
 
+static bool
+may_go_directly (guint n_vms, int32_t connections_max)
+{
+  if (n_vms <= 1)
+    return true;
+  return n_vms <= DIRECT_VMS_MAX
+         && (int64_t)n_vms * DIRECT_LINKS_MIN <= connections_max;
+}
+
 void
 rly_find_homes (const struct rly_table *t, const struct dir_instance *instance,
                 int32_t connections_max, struct rly_homes *out)
@@ -135,8 +148,7 @@
 
   memset (out, 0, sizeof *out);
   out->generation = t->generation;
-  out->direct
-      = t->vms->len <= (guint)CLAMP (connections_max, 1, DIRECT_VMS_MAX);
+  out->direct = may_go_directly (t->vms->len, connections_max);
   if (out->direct)
     return;
   for (guint i = 0; i < t->vms->len; i++)
--- a/packages/core/relay.h
+++ b/packages/core/relay.h
@@ -1,5 +1,5 @@
 /* Which proxies hold the connections to an instance.  A few proxies, for each
-   of which its limit allows one, go directly.  Else a few homes share the
+   of which its limit allows several, go directly.  Else a few homes share the
    limit and the other proxies send their statements through them, so that the
    limited connections serve all, no statement pays for opening one, and under
    load the urgent statements of all proxies go first.  */
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -561,8 +561,17 @@
   for (int n = 0; n < 9; n++)
     rly_set (&t, ("vm-" + std::to_string (n)).c_str (), "10.0.0.1:1",
              ("dc" + std::to_string (n % 3)).c_str (), 0.25);
-  rly_find_homes (&t, &i, 16, &h);
-  EXPECT_TRUE (h.direct) << "nine proxies fit before sixteen connections";
+  static const struct
+  {
+    int32_t connections_max;
+    bool direct;
+  } limits[] = { { 55, true }, { 36, true }, { 35, false }, { 16, false } };
+  for (const auto &l : limits)
+    {
+      rly_find_homes (&t, &i, l.connections_max, &h);
+      EXPECT_EQ (h.direct, l.direct) << l.connections_max;
+      EXPECT_GE (h.n, l.direct ? 0u : 2u);
+    }
   for (int n = 9; n < 25; n++)
     rly_set (&t, ("vm-" + std::to_string (n)).c_str (), "10.0.0.1:1",
              ("dc" + std::to_string (n % 3)).c_str (), 0.25);
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -277,24 +277,24 @@
 TEST (Pooler, AFullInstanceIsSharedByYielding)
 {
   PoolWorld w (14);
-  for (int n = 1; n <= 9; n++)
+  for (int n = 1; n <= 4; n++)
     plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (), "10.0.1.1:1",
                 "a", 0.25);
   std::vector<Caller *> cs;
-  for (int n = 0; n < 6; n++)
+  for (int n = 0; n < 12; n++)
     {
       cs.push_back (w.Open ("fresh"));
       w.Ask (cs.back (), STM_BEGIN);
       w.Send (cs.back (), STM_WRITE, nullptr, "a 1");
     }
   w.Run (300000);
-  // Share 1, three at most; the others wait.
-  EXPECT_EQ (w.group->instances[0].n_connections, 3u);
+  // Share 4, nine at most; the others wait.
+  EXPECT_EQ (w.group->instances[0].n_connections, 9u);
   plr_yield (w.pooler, "stock", "i-0", w.now_us);
   ASSERT_FALSE (cs[0]->busy);
   EXPECT_EQ (w.Ask (cs[0], STM_COMMIT), "ok");
   w.Run (20000);
-  EXPECT_EQ (w.group->instances[0].n_connections, 2u);
+  EXPECT_EQ (w.group->instances[0].n_connections, 8u);
   ExpectNoBreach (w);
 }
 
