A read that two copies lack is asked for at the primary by position, not by a BEGIN

Cause: after two copies had lacked a read's position it ran at the primary inside a BEGIN, one more round trip through the home during which it held one of the scarce connections, although the position itself makes the instance refuse when it lacks anything. A BEGIN is now only used when no position is known, or when the primary lacks it too (it was rolled back).

--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -5,7 +5,8 @@
 
 /* Allowance for clocks that run at slightly different speeds.  */
 #define AGE_MARGIN_US 20000
-/* After so many copies that lacked the position the primary is asked.  */
+/* After so many copies that lacked the position the primary is asked for it;
+   when that lacks it too, it was rolled back, and the lead alone counts.  */
 #define BEHIND_TRIES 2
 /* A home that failed is not gone through for so long.  */
 #define FAILED_HOME_US 1500000
@@ -30,9 +31,10 @@
   int64_t since_us = w->arrived_us - w->max_age_us + AGE_MARGIN_US;
 
   need.avoid = s->avoid;
-  need.leader = needs_leader (s) || s->tries_behind >= BEHIND_TRIES
-                || !svc_floor_since (w->svc, since_us, &need.floor);
-  if (need.leader)
+  need.prove = needs_leader (s) || s->tries_behind > BEHIND_TRIES
+               || !svc_floor_since (w->svc, since_us, &need.floor);
+  need.leader = need.prove || s->tries_behind >= BEHIND_TRIES;
+  if (need.prove)
     need.floor = LP_NONE;
   else if (w->reads == DIR_READS_OWN && s->wrote_in == w->svc)
     need.floor = lp_max (need.floor, s->last_commit);
@@ -220,7 +222,7 @@
 static void
 begin_first (struct ses *s, const struct plc_need *need, int64_t now_us)
 {
-  struct stm begin = { .kind = need->leader ? STM_BEGIN : STM_BEGIN_READ };
+  struct stm begin = { .kind = need->prove ? STM_BEGIN : STM_BEGIN_READ };
 
   begin.urgency = urgency_of (s, now_us);
   s->sent_us = now_us;
@@ -246,7 +248,7 @@
       ask_statement (p, s, &out, LP_NONE, now_us);
       ask_rollback (s->link, now_us);
     }
-  else if (need->leader && !s->writes)
+  else if (need->prove && !s->writes)
     {
       s->wrapped = true;
       begin_first (s, need, now_us);
