--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -489,6 +489,116 @@
   ExpectNoBreach (w);
 }
 
+// A home of the primary among sixty proxies, with more to do than its part of
+// the slots can.
+struct BusyHome
+{
+  PoolWorld w;
+  std::vector<Caller *> waiting;
+  explicit BusyHome (uint64_t seed) : w (seed)
+  {
+    for (int n = 1; n <= 60; n++)
+      plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (),
+                  "10.0.1.1:1", n <= 2 ? "a" : "b", 0.25);
+    w.Ask (w.Open ("fresh"), STM_WRITE, nullptr, "a 1");
+    w.Run (500000);
+    w.faults.slots = 2;
+    w.faults.slot_queue = 16;
+    w.faults.work_us = 20000;
+    for (int n = 0; n < 20; n++)
+      waiting.push_back (Send ({ 34, 400 }, STM_READ));
+    w.Run (65000);
+  }
+  Caller *
+  Send (struct stm_urgency urgency, enum stm_kind kind)
+  {
+    Caller *c = w.OpenRelay ("i-0");
+    EXPECT_NE (c->session, nullptr);
+    c->urgency = urgency;
+    w.Send (c, kind, nullptr, kind == STM_READ ? "a" : nullptr);
+    return c;
+  }
+  int
+  Answered () const
+  {
+    int n = 0;
+    for (const Caller *c : waiting)
+      n += c->busy ? 0 : 1;
+    return n;
+  }
+};
+
+TEST (Pooler, AtAHomeTheUrgentOvertake)
+{
+  BusyHome h (26);
+  Caller *urgent = h.Send ({ 17, 400 }, STM_READ);
+  int before = h.Answered ();
+  while (urgent->busy)
+    h.w.Run (1000);
+  EXPECT_EQ (urgent->last, "ok");
+  // Those under way, and no more, went before it.
+  EXPECT_LE (h.Answered () - before, 5);
+  h.w.Run (1000000);
+  EXPECT_EQ (h.Answered (), 20);
+  ExpectNoBreach (h.w);
+}
+
+TEST (Pooler, AtAHomeQuestionsOfProxiesNeedNoSlot)
+{
+  // Behind the statements they were answered after half a second, and their
+  // proxies took the primary for lost.
+  BusyHome h (27);
+  Caller *question = h.Send ({ 0, 0 }, STM_BEGIN);
+  h.w.Run (h.w.faults.round_trip_us + 1000);
+  EXPECT_EQ (question->last, "ok");
+  ExpectNoBreach (h.w);
+}
+
+TEST (Pooler, AHomeRefusesWhatLastingLoadMakesLate)
+{
+  BusyHome h (28);
+  std::map<std::string, int> ends;
+  // Three times what two slots can do.
+  for (int n = 0; n < 900; n++)
+    {
+      h.waiting.push_back (h.Send ({ 34, 200 }, STM_READ));
+      h.w.Run (3333);
+    }
+  h.w.Run (1000000);
+  for (const Caller *c : h.waiting)
+    ends[c->last]++;
+  EXPECT_GT (ends["overloaded"], 300);
+  EXPECT_GT (ends["ok"], 250);
+  EXPECT_EQ (h.Answered (), 920);
+  ExpectNoBreach (h.w);
+}
+
+TEST (Pooler, WhatAHomeRefusesIsTriedOnAnotherCopyOrToldAsBusy)
+{
+  struct
+  {
+    const char *database;
+    const char *answer;
+  } const cases[] = { { "fresh", "busy" }, { "bounded", "ok" } };
+  for (const auto &c : cases)
+    {
+      PoolWorld w (29);
+      for (int n = 1; n <= 60; n++)
+        plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (),
+                    "10.0.1.1:1", n == 1 ? "c" : "a", 0.25);
+      EXPECT_EQ (w.Ask (w.Open ("fresh"), STM_WRITE, nullptr, "a 1"), "ok");
+      w.Ask (w.Open ("bounded"), STM_READ, nullptr, "a");
+      w.Run (300000);
+      w.refuse_at = "i-0";
+      EXPECT_EQ (w.Ask (w.Open (c.database), STM_READ, nullptr, "a"), c.answer)
+          << c.database;
+      uint64_t elsewhere
+          = ((uint64_t *)w.counters->retry)[RETRY_OVERLOADED_INSTANCE];
+      EXPECT_EQ (elsewhere, strcmp (c.answer, "ok") == 0 ? 1u : 0u);
+      ExpectNoBreach (w);
+    }
+}
+
 TEST (Overload, TheShorterKindOfAPriorityGoesFirst)
 {
   struct ovl_kinds k = {};
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -164,6 +164,15 @@
   s.id = sent->statement.id ? sent->id.c_str () : nullptr;
   s.name = sent->statement.name ? sent->name.c_str () : nullptr;
   s.args = sent->statement.args ? sent->args.c_str () : nullptr;
+  if (u->via_home && w->refuse_at == u->instance->id
+      && (work || s.kind == STM_BEGIN || s.kind == STM_BEGIN_READ))
+    {
+      memset (&end, 0, sizeof end);
+      end.code = SQC_OVERLOADED;
+      w->At (w->faults.round_trip_us / 2,
+             [w, u, end] { Answered (w, u, end, ""); });
+      return;
+    }
   int64_t done_us = work ? w->DoneAt (u->instance, sent->id) : w->now_us;
   if (done_us < 0 || (work && w->Chance (w->faults.busy)))
     {
@@ -477,6 +486,19 @@
   return callers.back ().get ();
 }
 
+Caller *
+PoolWorld::OpenRelay (const char *instance)
+{
+  auto c = std::make_unique<Caller> ();
+
+  c->world = this;
+  c->name = "s" + std::to_string (callers.size ());
+  c->database = "stock";
+  c->session = plr_open_relay (pooler, c.get (), "stock", instance, now_us);
+  callers.push_back (std::move (c));
+  return callers.back ().get ();
+}
+
 void
 PoolWorld::Send (Caller *c, enum stm_kind kind, const char *name,
                  const char *args)
@@ -491,6 +513,7 @@
   s.id = c->id.c_str ();
   s.name = name;
   s.args = args;
+  s.urgency = c->urgency;
   if (kind == STM_BEGIN || kind == STM_BEGIN_READ)
     {
       c->in_transaction = true;
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -49,6 +49,7 @@
   GHashTable *values;
   struct lp own = {};
   struct lp transaction_own = {};
+  struct stm_urgency urgency = {}; // of another proxy's statements
   bool write_sent = false;
   bool commit_sent = false;
   // Outcomes.
@@ -109,6 +110,7 @@
   int64_t now_us = 1000000;
   uint64_t serial = 0;
   uint64_t revision = 10;
+  std::string refuse_at; // instance whose homes are overloaded
   bool store_up = true;
   bool store_silent = false; // claims are not answered
   bool objectives = true;    // the routes have latency objectives
@@ -141,6 +143,8 @@
   void List (struct dbm_instance *i, bool draining = false,
              int64_t born_ms = 0);
   Caller *Open (const std::string &database);
+  // Another proxy's session with an instance.
+  Caller *OpenRelay (const char *instance);
   // Sends one statement; the answer arrives in Run.
   void Send (Caller *c, enum stm_kind kind, const char *name = nullptr,
              const char *args = nullptr);
