--- a/packages/core/poolshed.c
+++ b/packages/core/poolshed.c
@@ -27,6 +27,21 @@
   return best;
 }
 
+/* Fills in what of the queue is ahead of S.  */
+static void
+look_ahead (const struct ses *s, struct ovl_queue *q, int64_t now_us)
+{
+  for (const GList *l = s->work.svc->waiting.head; l && l->data != s;
+       l = l->next)
+    {
+      const struct ses *ahead = l->data;
+
+      q->n_ahead++;
+      if (ahead->rank == s->rank && q->oldest_us == 0)
+        q->oldest_us = now_us - ahead->arrived_us;
+    }
+}
+
 /* Lets S go after those that can still be in time, once it can't.  */
 static void
 put_off (struct ses *s, int64_t now_us)
@@ -47,22 +62,19 @@
 
   if (!flow)
     return;
-  for (const GList *l = s->work.svc->waiting.head; l && l->data != s;
-       l = l->next)
-    {
-      const struct ses *ahead = l->data;
-
-      q.n_ahead++;
-      if (ahead->rank == s->rank && q.oldest_us == 0)
-        q.oldest_us = now_us - ahead->arrived_us;
-    }
+  /* Only newcomers are judged by it.  */
+  if (entering)
+    look_ahead (s, &q, now_us);
   if (!ovl_is_hopeless (&q, s->patience_us, now_us - s->arrived_us, now_us))
     {
       put_off (s, now_us);
       return;
     }
   if (!entering)
-    ovl_note_starved (flow, s->rank);
+    {
+      ovl_note_starved (flow, s->rank);
+      look_ahead (s, &q, now_us);
+    }
   EV (p->o.log, now_us, EV_OVERLOAD, EV_TEXT ("id", s->statement.id),
       EV_TEXT ("service", s->work.svc->name),
       EV_TEXT ("instance", s->relay_to ? s->relay_to : ""),
