A claim that another proxy makes during the survey is respected

At 22.70 s the holder claimed and promoted i-b6b5f80c43 for a leaving primary; at 23.17 s another proxy promoted i-0e8cee2d1b of the same service, a second pause of a second for its writes. That proxy was in its survey when the watch brought the new claim; it took the new revision for the one to replace, so that its compare-and-swap succeeded.

Change: a claim replaces only the revision that stood when the verdict fell; one that has appeared since belongs to somebody who acts on the same verdict.

Ruled out: the turn of ranks (the second proxy had waited its turn before the first claim reached it; the watch gathers for 0.6 s with 59 proxies).

Test: AClaimMadeDuringTheSurveyIsRespected, which fails without the change.

--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -74,8 +74,9 @@
   int64_t surveyed_us;
   char *primary; /* id of the last one proved or listed */
   char *target;
-  uint64_t claim;   /* revision it stands at, 0 = none */
-  int64_t claim_us; /* when that was learned */
+  uint64_t claim;        /* revision it stands at, 0 = none */
+  int64_t claim_us;      /* when that was learned */
+  uint64_t judged_claim; /* where it stood when the verdict fell */
   bool claim_is_own;
   char *holder;            /* proxy that took the claim, NULL = unknown */
   int64_t holder_gone_us;  /* it isn't listed since then, 0 = it is */
@@ -358,6 +359,7 @@
 start_survey (struct suc_service *sv, const struct suc_evidence *e,
               int64_t now_us)
 {
+  sv->judged_claim = sv->claim;
   sv->planned = e->draining || !e->listed;
   sv->cause = cause_of (e);
   log_judgement (sv, "replace", now_us);
@@ -472,6 +474,12 @@
 {
   struct svc_instance *target;
 
+  /* Another proxy has claimed meanwhile, and acts on the same verdict.  */
+  if (sv->claim != sv->judged_claim && !sv->claim_is_own)
+    {
+      calm_down (sv, PAUSE_US, now_us);
+      return;
+    }
   survey (sv, now_us);
   if (now_us - sv->since_us < SURVEY_US)
     return;
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -972,6 +972,26 @@
   EXPECT_EQ (w.promoted.size (), 1u);
 }
 
+TEST (Succession, AClaimMadeDuringTheSurveyIsRespected)
+{
+  // The proxy took the new claim for the one to replace, claimed on top of it
+  // and promoted a second replica half a second after the first.
+  PoolWorld w (30);
+  Caller *x = w.Open ("fresh");
+  w.Ask (x, STM_WRITE, nullptr, "a 1");
+  suc_note_claim (w.suc, "stock", "vm-2", 50, w.now_us);
+  w.Ask (w.Open ("bounded"), STM_READ, nullptr, "a");
+  w.Run (2000000);
+  uint32_t in_calm = w.claims;
+  w.List (&w.group->instances[0], true);
+  // Rank one acts 100 ms later and surveys for 100 ms.
+  w.Run (150000);
+  suc_note_claim (w.suc, "stock", "vm-2", 60, w.now_us);
+  w.Run (1000000);
+  EXPECT_EQ (w.claims, in_calm);
+  EXPECT_TRUE (w.promoted.empty ());
+}
+
 TEST (Succession, OneProxyHoldsEachClaimInCalm)
 {
   static const struct
