--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -130,8 +130,8 @@
 /* True when the statement of S may run on another instance than the one it
    was sent to.  */
 bool plr_may_go_elsewhere (const struct ses *s, int64_t now_us);
-/* Puts S into the queue for a connection, and takes it out to be sent on
-   LINK.  */
+/* Puts S into the queue for a connection, takes it out again, and takes it out
+   to be sent on LINK.  */
 void plr_wait (struct ses *s);
 void plr_stop_waiting (struct ses *s);
 void plr_hold (struct ses *s, struct ul *link, int64_t now_us);
--- /dev/null
+++ b/tests/unit/overload_test.cc
@@ -0,0 +1,320 @@
+// Sessions under more load than the slots can serve: what callers get.
+#include "poolworld.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+// Callers of three kinds, as at Imena, while both replicas lag beyond every
+// allowed age, so that all statements fall on the two slots of the primary.
+struct LaggingLoad
+{
+  struct Kind
+  {
+    const char *database;
+    int64_t every_us;
+    int64_t objective_us;
+    int sent = 0, in_time = 0, refused = 0;
+    // Of those sent once the load has lasted.
+    int told = 0;
+    int64_t told_after_us = 0;
+  } kinds[3] = { { "fresh", 22000, 300000 },
+                 { "bounded", 22000, 600000 },
+                 { "own", 4800, 500000 } };
+
+  int64_t start_us = 0;
+
+  void
+  Play (PoolWorld &w, int64_t for_us)
+  {
+    w.faults.slots = 2;
+    w.faults.slot_queue = 16;
+    w.work_us = { { "fresh", 4500 }, { "bounded", 22000 }, { "own", 14000 } };
+    Caller *writer = w.Open ("fresh");
+    EXPECT_EQ (w.Ask (writer, STM_WRITE, nullptr, "a 1"), "ok");
+    for (uint32_t k = 1; k < w.group->n; k++)
+      w.group->instances[k].lag_us = 60000000;
+    for (int64_t t = 0; t < 3000000; t += 50000)
+      {
+        w.Ask (writer, STM_WRITE, nullptr, "a 1");
+        w.Run (50000);
+      }
+    start_us = w.now_us;
+    for (Kind &k : kinds)
+      for (int64_t t = 0; t < for_us; t += k.every_us)
+        w.At (t, [this, &w, &k] { Call (w, k); });
+    w.Run (for_us + 3000000);
+  }
+
+  void
+  Call (PoolWorld &w, Kind &k)
+  {
+    Caller *c = w.Open (k.database);
+    int64_t sent_us = w.now_us;
+    auto look = std::make_shared<std::function<void ()> > ();
+
+    k.sent++;
+    w.Send (c, STM_READ, nullptr, "a");
+    *look = [this, &w, &k, c, sent_us, look] {
+      if (c->busy)
+        {
+          w.At (1000, *look);
+          return;
+        }
+      if (c->oks > 0 && w.now_us - sent_us <= k.objective_us)
+        k.in_time++;
+      if (c->oks == 0)
+        k.refused++;
+      if (c->oks == 0 && sent_us - start_us >= 2000000)
+        {
+          k.told++;
+          k.told_after_us += w.now_us - sent_us;
+        }
+    };
+    w.At (0, *look);
+  }
+};
+
+TEST (Pooler, OverloadIsRefusedEarlyAndTheRestServedInTime)
+{
+  // Twice as much as the two slots can do, for eight seconds.
+  PoolWorld w (18);
+  LaggingLoad load;
+  load.Play (w, 8000000);
+  const auto &fresh = load.kinds[0], &bounded = load.kinds[1],
+             &own = load.kinds[2];
+  EXPECT_GE (fresh.in_time, fresh.sent * 95 / 100);
+  // The slots' time goes into answers that are in time.
+  EXPECT_GE (fresh.in_time * 4500 + bounded.in_time * 22000
+                 + own.in_time * 14000,
+             2 * 8000000 * 85 / 100);
+  // The longest ones give way, and are told at once.
+  EXPECT_GT (bounded.refused, bounded.sent / 2);
+  ASSERT_GT (bounded.told, 0);
+  EXPECT_LT (bounded.told_after_us / bounded.told, 150000);
+  EXPECT_GT (w.Refusals (RFS_OVERLOADED), 0u);
+  ExpectNoBreach (w);
+}
+
+TEST (Pooler, WithoutObjectivesAllAreLateUnderOverload)
+{
+  // What the test before is worth: the same load without the mechanism.
+  PoolWorld w (18);
+  LaggingLoad load;
+  w.objectives = false;
+  w.Configure (2);
+  load.Play (w, 8000000);
+  EXPECT_LT (load.kinds[2].in_time, load.kinds[2].sent * 30 / 100);
+  EXPECT_EQ (w.Refusals (RFS_OVERLOADED), 0u);
+  ExpectNoBreach (w);
+}
+
+TEST (Pooler, AnOutageIsWaitedOutThoughStatementsQueue)
+{
+  // Refusing early is for load: a primary that is away for a moment is not.
+  PoolWorld w (19);
+  Caller *warm = w.Open ("fresh");
+  EXPECT_EQ (w.Ask (warm, STM_READ, nullptr, "a"), "ok");
+  w.unresponsive["i-0"] = true;
+  w.votes_missed = 0;
+  std::vector<Caller *> cs;
+  for (int n = 0; n < 8; n++)
+    {
+      cs.push_back (w.Open ("fresh"));
+      w.Send (cs.back (), STM_READ, nullptr, "a");
+      w.Run (40000);
+    }
+  w.Run (300000);
+  w.unresponsive["i-0"] = false;
+  EXPECT_EQ (w.Refusals (RFS_OVERLOADED), 0u);
+  w.Run (900000);
+  ExpectNoBreach (w);
+}
+
+// A home of the primary among sixty proxies, with more to do than its part of
+// the slots can.
+struct BusyHome
+{
+  PoolWorld w;
+  std::vector<Caller *> waiting;
+  explicit BusyHome (uint64_t seed) : w (seed)
+  {
+    for (int n = 1; n <= 60; n++)
+      plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (),
+                  "10.0.1.1:1", n <= 2 ? "a" : "b", 0.25);
+    w.Ask (w.Open ("fresh"), STM_WRITE, nullptr, "a 1");
+    w.Run (500000);
+    w.faults.slots = 2;
+    w.faults.slot_queue = 16;
+    w.faults.work_us = 20000;
+    for (int n = 0; n < 20; n++)
+      waiting.push_back (Send ({ 34, 400 }, STM_READ));
+    w.Run (65000);
+  }
+  Caller *
+  Send (struct stm_urgency urgency, enum stm_kind kind)
+  {
+    Caller *c = w.OpenRelay ("i-0");
+    EXPECT_NE (c->session, nullptr);
+    c->urgency = urgency;
+    w.Send (c, kind, nullptr, kind == STM_READ ? "a" : nullptr);
+    return c;
+  }
+  int
+  Answered () const
+  {
+    int n = 0;
+    for (const Caller *c : waiting)
+      n += c->busy ? 0 : 1;
+    return n;
+  }
+};
+
+TEST (Pooler, AtAHomeTheUrgentOvertake)
+{
+  BusyHome h (26);
+  Caller *urgent = h.Send ({ 17, 400 }, STM_READ);
+  int before = h.Answered ();
+  while (urgent->busy)
+    h.w.Run (1000);
+  EXPECT_EQ (urgent->last, "ok");
+  // Those under way, and no more, went before it.
+  EXPECT_LE (h.Answered () - before, 5);
+  h.w.Run (1000000);
+  EXPECT_EQ (h.Answered (), 20);
+  ExpectNoBreach (h.w);
+}
+
+TEST (Pooler, AtAHomeQuestionsOfProxiesNeedNoSlot)
+{
+  // Behind the statements they were answered after half a second, and their
+  // proxies took the primary for lost.
+  BusyHome h (27);
+  Caller *question = h.Send ({ 0, 0 }, STM_BEGIN);
+  h.w.Run (h.w.faults.round_trip_us + 1000);
+  EXPECT_EQ (question->last, "ok");
+  ExpectNoBreach (h.w);
+}
+
+TEST (Pooler, AHomeRefusesWhatLastingLoadMakesLate)
+{
+  BusyHome h (28);
+  std::map<std::string, int> ends;
+  // Three times what two slots can do.
+  for (int n = 0; n < 900; n++)
+    {
+      h.waiting.push_back (h.Send ({ 34, 200 }, STM_READ));
+      h.w.Run (3333);
+    }
+  h.w.Run (1000000);
+  for (const Caller *c : h.waiting)
+    ends[c->last]++;
+  EXPECT_GT (ends["overloaded"], 300);
+  EXPECT_GT (ends["ok"], 250);
+  EXPECT_EQ (h.Answered (), 920);
+  ExpectNoBreach (h.w);
+}
+
+TEST (Pooler, WhatAHomeRefusesIsTriedOnAnotherCopyOrToldAsBusy)
+{
+  struct
+  {
+    const char *database;
+    const char *answer;
+  } const cases[] = { { "fresh", "busy" }, { "bounded", "ok" } };
+  for (const auto &c : cases)
+    {
+      PoolWorld w (29);
+      for (int n = 1; n <= 60; n++)
+        plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (),
+                    "10.0.1.1:1", n == 1 ? "c" : "a", 0.25);
+      EXPECT_EQ (w.Ask (w.Open ("fresh"), STM_WRITE, nullptr, "a 1"), "ok");
+      w.Ask (w.Open ("bounded"), STM_READ, nullptr, "a");
+      w.Run (300000);
+      w.refuse_at = "i-0";
+      EXPECT_EQ (w.Ask (w.Open (c.database), STM_READ, nullptr, "a"), c.answer)
+          << c.database;
+      uint64_t elsewhere
+          = ((uint64_t *)w.counters->retry)[RETRY_OVERLOADED_INSTANCE];
+      EXPECT_EQ (elsewhere, strcmp (c.answer, "ok") == 0 ? 1u : 0u);
+      ExpectNoBreach (w);
+    }
+}
+
+TEST (Overload, TheShorterKindOfAPriorityGoesFirst)
+{
+  struct ovl_kinds k = {};
+  struct dir_route order = {}, lookup = {}, tally = {};
+  order.priority = 1;
+  lookup.priority = tally.priority = 2;
+  order.reads = DIR_READS_FRESH;
+  lookup.reads = DIR_READS_BOUNDED;
+  tally.reads = DIR_READS_OWN;
+  order.objective_us = 300000;
+  lookup.objective_us = 600000;
+  tally.objective_us = 500000;
+  order.timeout_us = lookup.timeout_us = tally.timeout_us = 800000;
+  uint32_t o = ovl_find_kind (&k, &order), l = ovl_find_kind (&k, &lookup),
+           t = ovl_find_kind (&k, &tally);
+  EXPECT_EQ (ovl_find_kind (&k, &lookup), l);
+  EXPECT_EQ (ovl_rank (&k, l), ovl_rank (&k, t)) << "nothing measured yet";
+  for (int n = 0; n < 200; n++)
+    {
+      ovl_note_work (&k, o, 70000);
+      ovl_note_work (&k, l, 8000);
+      ovl_note_work (&k, t, -1000);
+    }
+  EXPECT_LT (ovl_rank (&k, o), ovl_rank (&k, t)) << "priority goes first";
+  EXPECT_LT (ovl_rank (&k, t), ovl_rank (&k, l));
+  EXPECT_GT (ovl_rank (&k, o), 0u);
+  EXPECT_EQ (ovl_patience_us (&k, t, false), 375000);
+  EXPECT_EQ (ovl_patience_us (&k, t, true), 250000);
+}
+
+TEST (Overload, WhatIsHopeless)
+{
+  struct
+  {
+    const char *what;
+    bool entering;
+    uint32_t n_ahead;
+    int64_t gap_us, oldest_us, patience_us, waited_us, idle_us, full_us;
+    uint32_t starved;
+    bool hopeless;
+  } const cases[] = {
+    { "an empty queue", true, 0, 10000, 0, 300000, 0, 0, 1500000, 0, false },
+    { "a short one", true, 10, 10000, 50000, 300000, 0, 0, 1500000, 0, false },
+    { "a long one", true, 31, 10000, 50000, 300000, 0, 0, 1500000, 0, true },
+    { "a long one that was empty a moment ago", true, 31, 10000, 50000, 300000,
+      0, 0, 900000, 0, false },
+    { "its own kind stands still", true, 3, 10000, 151000, 300000, 0, 0,
+      1500000, 0, true },
+    { "only newcomers are judged by the queue", false, 31, 10000, 151000,
+      300000, 10000, 0, 1500000, 0, false },
+    { "it has waited long enough", false, 0, 10000, 0, 300000, 300000, 0,
+      1500000, 0, true },
+    { "nothing flows: an outage", false, 31, 10000, 900000, 300000, 300000,
+      141000, 1500000, 0, false },
+    { "it flows again after an outage", false, 31, 10000, 900000, 300000,
+      1600000, 0, 1500000, 0, false },
+    { "one of its kind was refused, and one waits to see", true, 1, 10000,
+      1000, 300000, 0, 0, 1500000, 34, true },
+    { "none waits to see", true, 0, 10000, 0, 300000, 0, 0, 1500000, 34,
+      false },
+    { "one of a later kind was refused", true, 1, 10000, 1000, 300000, 0, 0,
+      1500000, 35, false },
+    { "no objective", true, 31, 10000, 900000, 0, 900000, 0, 1500000, 0,
+      false },
+  };
+  for (const auto &c : cases)
+    {
+      struct ovl_flow flow = { 2000000,  500000, 2000000 - c.full_us,
+                               c.gap_us, true,   c.starved };
+      struct ovl_queue q = { &flow, 34, c.entering, c.n_ahead, c.oldest_us };
+      EXPECT_EQ (ovl_is_hopeless (&q, c.patience_us, c.waited_us,
+                                  2000000 + c.idle_us),
+                 c.hopeless)
+          << c.what;
+    }
+}
+} // namespace
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <gtest/gtest.h>
 
 namespace
 {
@@ -563,3 +564,9 @@
 {
   return p > 0 && std::uniform_real_distribution<> (0, 1) (random) < p;
 }
+
+void
+ExpectNoBreach (const PoolWorld &w)
+{
+  EXPECT_EQ (w.group->breaches, 0u) << w.group->first_breach;
+}
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -167,4 +167,7 @@
   }
 };
 
+// Fails the test when the model saw a promise broken.
+void ExpectNoBreach (const PoolWorld &w);
+
 #endif
--- /dev/null
+++ b/tests/unit/succeed_test.cc
@@ -0,0 +1,320 @@
+// Succession of primaries on virtual time.
+#include "poolworld.h"
+
+#include <gtest/gtest.h>
+
+namespace
+{
+TEST (Succession, Judgements)
+{
+  struct
+  {
+    const char *what;
+    struct suc_evidence e;
+    enum suc_verdict verdict;
+  } const cases[] = {
+    // known proved listed lapsed draining denied unresponsive refused
+    // leaderless
+    // candidates
+    { "a healthy primary",
+      { true, true, true, false, false, false, false, 0, 0, 2 },
+      SUC_KEEP },
+    { "unresponsive for this proxy",
+      { true, false, true, false, false, false, true, 0, 900000, 2 },
+      SUC_ASK },
+    { "unresponsive, and no replica answers either: this proxy is cut off",
+      { true, false, true, false, false, false, true, 0, 900000, 0 },
+      SUC_KEEP },
+    { "a restart refuses connections for a moment",
+      { true, true, true, false, false, false, false, 100000, 0, 2 },
+      SUC_KEEP },
+    { "connections are refused for longer",
+      { true, true, true, false, false, false, false, 300000, 0, 2 },
+      SUC_ASK },
+    { "gone from the directory, though it still answers",
+      { true, true, false, false, false, false, false, 0, 0, 2 },
+      SUC_REPLACE },
+    { "unresponsive, and just dropped by the directory",
+      { true, false, true, true, false, false, true, 0, 900000, 2 },
+      SUC_REPLACE },
+    { "just dropped by the directory, which may be the store's fault",
+      { true, true, true, true, false, false, false, 0, 0, 2 },
+      SUC_KEEP },
+    { "it leaves as planned",
+      { true, true, true, false, true, false, false, 0, 0, 2 },
+      SUC_REPLACE },
+    { "it leaves, and no replica can take over",
+      { true, true, true, false, true, false, false, 0, 0, 0 },
+      SUC_KEEP },
+    { "it denies, a promotion may be under way",
+      { true, false, true, false, false, true, false, 0, 500000, 2 },
+      SUC_KEEP },
+    { "all deny for longer than a promotion takes",
+      { true, false, true, false, false, true, false, 0, 1300000, 2 },
+      SUC_REPLACE },
+    { "not heard of since the start, a moment ago",
+      { false, false, false, false, false, false, false, 0, 1000000, 2 },
+      SUC_KEEP },
+    { "never heard of",
+      { false, false, false, false, false, false, false, 0, 3000000, 2 },
+      SUC_REPLACE },
+  };
+  for (const auto &c : cases)
+    EXPECT_EQ (suc_judge (&c.e), c.verdict) << c.what;
+}
+
+TEST (Succession, Votes)
+{
+  struct
+  {
+    struct suc_votes
+        v; // reached, missed (this proxy's included), all, proxies
+    bool replace;
+  } const cases[] = {
+    { { 0, 1, 1, 1 }, true }, // there is nobody else
+    { { 0, 9, 9, 9 }, true },  { { 0, 5, 5, 9 }, true },
+    { { 0, 2, 2, 9 }, false }, // the smaller side of a partition
+    { { 0, 4, 4, 8 }, false }, { { 8, 1, 9, 9 }, false },
+    { { 1, 1, 2, 2 }, false }, { { 7, 2, 9, 9 }, false },
+    { { 6, 3, 9, 9 }, true },  { { 4, 5, 9, 9 }, true },
+    { { 0, 2, 6, 9 }, true }, // others know nothing of it
+  };
+  for (const auto &c : cases)
+    EXPECT_EQ (suc_count_votes (&c.v), c.replace)
+        << c.v.reached << " " << c.v.missed << " " << c.v.voted;
+}
+
+// What ends a primary, and what callers then get.
+TEST (Succession, APrimaryIsReplaced)
+{
+  struct
+  {
+    const char *what;
+    void (*fault) (PoolWorld *w);
+    size_t promotions;
+    const char *answer; // of a write three seconds later
+  } const cases[] = {
+    { "unresponsive, and the peers miss it too",
+      [] (PoolWorld *w) { w->unresponsive["i-0"] = true; }, 1, "ok" },
+    { "unresponsive for this proxy alone",
+      [] (PoolWorld *w) {
+        w->unresponsive["i-0"] = true;
+        w->votes_missed = 0;
+        w->votes_reached = 4;
+      },
+      0, "busy" },
+    { "connections refused",
+      [] (PoolWorld *w) {
+        w->refused["i-0"] = true;
+        for (auto &u : w->ups)
+          if (u->open && u->instance->index == 0)
+            plr_link_lost (w->pooler, u->link, false, w->now_us),
+                u->open = false;
+      },
+      1, "ok" },
+    { "leaving",
+      [] (PoolWorld *w) { w->List (&w->group->instances[0], true); }, 1,
+      "ok" },
+    { "gone from the directory",
+      [] (PoolWorld *w) { plr_unlist_instance (w->pooler, "i-0", w->now_us); },
+      1, "ok" },
+    { "unresponsive while the store is away: by the claim taken in calm",
+      [] (PoolWorld *w) {
+        w->unresponsive["i-0"] = true;
+        w->store_up = false;
+      },
+      1, "ok" },
+    { "the same, but another proxy holds the claim",
+      [] (PoolWorld *w) {
+        g_hash_table_add (w->vms, (gpointer) "vm-2");
+        suc_note_claim (w->suc, "stock", "vm-2", 50, w->now_us);
+        w->unresponsive["i-0"] = true;
+        w->store_up = false;
+      },
+      0, "busy" },
+  };
+  for (const auto &c : cases)
+    {
+      PoolWorld w (20);
+      Caller *x = w.Open ("fresh");
+      EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 1"), "ok") << c.what;
+      Caller *warm = w.Open ("bounded");
+      for (int n = 0; n < 20; n++)
+        w.Ask (warm, STM_READ, nullptr, "a");
+      w.Run (100000);
+      c.fault (&w);
+      for (int n = 0; n < 30; n++)
+        {
+          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+          w.Run (100000);
+        }
+      EXPECT_EQ (w.promoted.size (), c.promotions) << c.what;
+      EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 2"), c.answer) << c.what;
+      EXPECT_EQ (w.group->breaches, 0u) << c.what << w.group->first_breach;
+    }
+}
+
+TEST (Succession, APrimaryThatOthersReachIsReachedThroughThem)
+{
+  PoolWorld w (24);
+  Caller *x = w.Open ("fresh");
+  plr_set_vm (w.pooler, "vm-1", "10.0.1.1:1", "a", 0.25);
+  plr_set_vm (w.pooler, "vm-2", "10.0.1.2:1", "a", 0.25);
+  EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 1"), "ok");
+  Caller *warm = w.Open ("bounded");
+  for (int n = 0; n < 20; n++)
+    w.Ask (warm, STM_READ, nullptr, "a");
+  w.unresponsive["i-0"] = true;
+  w.homes_reach = true;
+  w.votes_missed = 0;
+  w.votes_reached = 4;
+  for (int n = 0; n < 20; n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  EXPECT_EQ (w.promoted.size (), 0u);
+  EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 2"), "ok");
+  // The direct way heals: it is taken again.
+  w.unresponsive.clear ();
+  w.Run (6000000);
+  EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 3"), "ok");
+  ExpectNoBreach (w);
+}
+
+TEST (Succession, TheFurthestReplicaIsChosen)
+{
+  PoolWorld w (21, 5);
+  Caller *x = w.Open ("fresh");
+  w.Ask (x, STM_WRITE, nullptr, "a 1");
+  for (uint32_t k : { 1u, 2u, 4u })
+    w.group->instances[k].cut = true;
+  w.Ask (x, STM_WRITE, nullptr, "a 2");
+  Caller *warm = w.Open ("bounded");
+  for (int n = 0; n < 20; n++)
+    w.Ask (warm, STM_READ, nullptr, "a");
+  w.unresponsive["i-0"] = true;
+  for (int n = 0; n < 30; n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  ASSERT_EQ (w.promoted.size (), 1u);
+  EXPECT_EQ (w.promoted[0], "i-3");
+  EXPECT_EQ (w.group->rolled_back, 0u);
+  ExpectNoBreach (w);
+}
+
+TEST (Succession, ALeavingPrimaryLosesNoCommit)
+{
+  PoolWorld w (22);
+  Caller *x = w.Open ("fresh");
+  for (int n = 0; n < 5; n++)
+    w.Ask (x, STM_WRITE, nullptr, "a 1");
+  w.List (&w.group->instances[0], true);
+  int served = 0;
+  for (int n = 0; n < 30; n++)
+    {
+      served += w.Ask (x, STM_WRITE, nullptr, "a 2") == "ok" ? 1 : 0;
+      w.Run (50000);
+    }
+  EXPECT_EQ (served, 30);
+  EXPECT_EQ (w.promoted.size (), 1u);
+  EXPECT_EQ (w.group->rolled_back, 0u);
+  ExpectNoBreach (w);
+}
+
+TEST (Succession, AClaimOfAnotherProxyIsRespectedForItsTime)
+{
+  PoolWorld w (23);
+  Caller *x = w.Open ("fresh");
+  w.Ask (x, STM_WRITE, nullptr, "a 1");
+  w.Run (200000);
+  w.unresponsive["i-0"] = true;
+  suc_note_claim (w.suc, "stock", "vm-2", 50, w.now_us);
+  uint32_t in_calm = w.claims;
+  for (int n = 0; n < 15; n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  EXPECT_EQ (w.claims, in_calm);
+  for (int n = 0; n < 15; n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  EXPECT_EQ (w.claims, in_calm + 1);
+  EXPECT_EQ (w.promoted.size (), 1u);
+}
+
+TEST (Succession, AClaimMadeDuringTheSurveyIsRespected)
+{
+  // The proxy took the new claim for the one to replace, claimed on top of it
+  // and promoted a second replica half a second after the first.
+  PoolWorld w (30);
+  Caller *x = w.Open ("fresh");
+  w.Ask (x, STM_WRITE, nullptr, "a 1");
+  suc_note_claim (w.suc, "stock", "vm-2", 50, w.now_us);
+  w.Ask (w.Open ("bounded"), STM_READ, nullptr, "a");
+  w.Run (2000000);
+  uint32_t in_calm = w.claims;
+  w.List (&w.group->instances[0], true);
+  // Rank one acts 100 ms later and surveys for 100 ms.
+  w.Run (150000);
+  suc_note_claim (w.suc, "stock", "vm-2", 60, w.now_us);
+  w.Run (1000000);
+  EXPECT_EQ (w.claims, in_calm);
+  EXPECT_TRUE (w.promoted.empty ());
+}
+
+TEST (Succession, OneProxyHoldsEachClaimInCalm)
+{
+  static const struct
+  {
+    const char *what;
+    const char *holder; // NULL: nobody
+    bool listed;
+    uint32_t claims; // in ten seconds of calm
+  } cases[] = {
+    { "nobody holds it", nullptr, false, 1 },
+    { "a proxy that is there", "vm-2", true, 0 },
+    { "a proxy that is gone", "vm-2", false, 1 },
+    { "this proxy, in an earlier life", "vm-1", true, 0 },
+  };
+  for (const auto &c : cases)
+    {
+      PoolWorld w (24);
+      w.revision = 100;
+      if (c.holder)
+        suc_note_claim (w.suc, "stock", c.holder, 50, w.now_us);
+      if (c.listed)
+        g_hash_table_add (w.vms, (gpointer)c.holder);
+      Caller *x = w.Open ("fresh");
+      for (int n = 0; n < 100; n++)
+        {
+          w.Ask (x, STM_READ, nullptr, "a");
+          w.Run (100000);
+        }
+      EXPECT_EQ (w.claims, c.claims) << c.what;
+      EXPECT_TRUE (w.promoted.empty ()) << c.what;
+    }
+}
+
+TEST (Succession, AStoreThatSaysNothingDelaysTheHolderLittle)
+{
+  PoolWorld w (25);
+  Caller *x = w.Open ("fresh");
+  w.Ask (x, STM_WRITE, nullptr, "a 1");
+  w.Run (500000);
+  w.store_silent = true;
+  w.unresponsive["i-0"] = true;
+  for (int n = 0; n < 30 && w.promoted.empty (); n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  EXPECT_EQ (w.promoted.size (), 1u);
+  ExpectNoBreach (w);
+}
+} // namespace
