A load lasts as long as it is refused; refusals of proxies' own questions are logged as such

Cause: found by a test that looked for the log line of a refused BEGIN without an id (written as the number 0). Under a steady load of one kind the refusals emptied the queue, an empty queue ended the load, and everything was let in for a second again, to be late or refused after its wait.

Change: a queue that is short while statements are refused still counts as full, until a second after the last refusal. The line says "-" where there is no id.

Tests: ALoadLastsAsLongAsItIsRefused; AHomeRefusesWhatLastingLoadMakesLate looks for the line, and failed without either change.

--- a/packages/core/overload.c
+++ b/packages/core/overload.c
@@ -101,13 +101,18 @@
   if (!f->backlog || f->steady_us == now_us)
     f->full_us = now_us;
   f->started_us = now_us;
-  f->backlog = n_waiting > 0;
+  /* A queue that is short because others were refused doesn't mean that the
+     load is over.  */
+  f->backlog = n_waiting > 0
+               || (f->refused_us > 0 && now_us - f->refused_us < STANDING_US);
 }
 
 void
-ovl_note_starved (struct ovl_flow *f, uint32_t rank)
+ovl_note_refused (struct ovl_flow *f, uint32_t rank, bool entering,
+                  int64_t now_us)
 {
-  if (f->starved == 0 || rank < f->starved)
+  f->refused_us = now_us;
+  if (!entering && (f->starved == 0 || rank < f->starved))
     f->starved = rank;
 }
 
--- a/packages/core/overload.h
+++ b/packages/core/overload.h
@@ -51,9 +51,10 @@
 {
   int64_t started_us; /* a statement last left the queue to run, 0 = never */
   int64_t steady_us;  /* statements left without a pause since then */
-  int64_t full_us;    /* and the queue was never empty since then */
+  int64_t full_us;    /* and the load has filled the queue since then */
   int64_t gap_us;     /* smoothed time between two that left */
-  bool backlog;       /* statements stayed behind then */
+  bool backlog;       /* statements stayed behind then, or were refused */
+  int64_t refused_us; /* one was last refused, 0 = never */
   uint32_t starved; /* the lowest rank refused since one of it left, 0 = none;
                        a single statement of it waits, to see when that ends */
 };
@@ -61,8 +62,9 @@
 /* A statement of RANK leaves the queue to run; N_WAITING stay behind.  */
 void ovl_note_start (struct ovl_flow *f, uint32_t rank, uint32_t n_waiting,
                      int64_t now_us);
-/* A statement of RANK was refused after it had waited.  */
-void ovl_note_starved (struct ovl_flow *f, uint32_t rank);
+/* A statement of RANK was refused, ENTERING or after it had waited.  */
+void ovl_note_refused (struct ovl_flow *f, uint32_t rank, bool entering,
+                       int64_t now_us);
 
 /* The queue as a new or waiting statement sees it.  */
 struct ovl_queue
--- a/packages/core/poolshed.c
+++ b/packages/core/poolshed.c
@@ -70,12 +70,11 @@
       put_off (s, now_us);
       return;
     }
+  ovl_note_refused (flow, s->rank, entering, now_us);
   if (!entering)
-    {
-      ovl_note_starved (flow, s->rank);
-      look_ahead (s, &q, now_us);
-    }
-  EV (p->o.log, now_us, EV_OVERLOAD, EV_TEXT ("id", s->statement.id),
+    look_ahead (s, &q, now_us);
+  EV (p->o.log, now_us, EV_OVERLOAD,
+      EV_TEXT ("id", s->statement.id ? s->statement.id : "-"),
       EV_TEXT ("service", s->work.svc->name),
       EV_TEXT ("instance", s->relay_to ? s->relay_to : ""),
       EV_INT ("rank", s->rank), EV_INT ("ahead", q.n_ahead),
--- a/tests/unit/overload_test.cc
+++ b/tests/unit/overload_test.cc
@@ -206,6 +206,23 @@
       h.waiting.push_back (h.Send ({ 34, 200 }, STM_READ));
       h.w.Run (3333);
     }
+  // The BEGIN of another proxy has no id of a caller; the log says so.
+  struct stm anonymous = {};
+  anonymous.kind = STM_BEGIN;
+  anonymous.urgency = { 40, 1 };
+  h.w.log_lines.clear ();
+  h.w.log.limits[EV_OVERLOAD].written = 0;
+  for (int n = 0; n < 5; n++)
+    {
+      Caller *c = h.w.OpenRelay ("i-0");
+      c->busy = true;
+      plr_statement (h.w.pooler, c->session, &anonymous, h.w.now_us);
+    }
+  ASSERT_FALSE (h.w.log_lines.empty ());
+  EXPECT_NE (
+      h.w.log_lines.back ().find ("\"event\":\"overload\",\"id\":\"-\""),
+      std::string::npos)
+      << h.w.log_lines.back ();
   h.w.Run (1000000);
   for (const Caller *c : h.waiting)
     ends[c->last]++;
@@ -271,6 +288,30 @@
   EXPECT_EQ (ovl_patience_us (&k, t, true), 250000);
 }
 
+TEST (Overload, ALoadLastsAsLongAsItIsRefused)
+{
+  // Refusing emptied the queue, which then took everything in for a second.
+  struct
+  {
+    bool refused;
+    bool hopeless;
+  } const cases[] = { { true, true }, { false, false } };
+  for (const auto &c : cases)
+    {
+      struct ovl_flow flow = {};
+      int64_t now_us = 1000000;
+      for (int n = 0; n < 150; n++, now_us += 10000)
+        ovl_note_start (&flow, 34, 20, now_us);
+      if (c.refused)
+        ovl_note_refused (&flow, 34, true, now_us);
+      for (int n = 0; n < 5; n++, now_us += 10000)
+        ovl_note_start (&flow, 34, 0, now_us);
+      struct ovl_queue q = { &flow, 34, true, 60, 10000 };
+      EXPECT_EQ (ovl_is_hopeless (&q, 300000, 0, now_us), c.hopeless)
+          << c.refused;
+    }
+}
+
 TEST (Overload, WhatIsHopeless)
 {
   struct
@@ -308,8 +349,9 @@
   };
   for (const auto &c : cases)
     {
-      struct ovl_flow flow = { 2000000,  500000, 2000000 - c.full_us,
-                               c.gap_us, true,   c.starved };
+      struct ovl_flow flow
+          = { 2000000, 500000,   2000000 - c.full_us, c.gap_us, true,
+              0,       c.starved };
       struct ovl_queue q = { &flow, 34, c.entering, c.n_ahead, c.oldest_us };
       EXPECT_EQ (ovl_is_hopeless (&q, c.patience_us, c.waited_us,
                                   2000000 + c.idle_us),
