--- a/tests/unit/overload_test.cc
+++ b/tests/unit/overload_test.cc
@@ -50,28 +50,30 @@
   Call (PoolWorld &w, Kind &k)
   {
     Caller *c = w.Open (k.database);
-    int64_t sent_us = w.now_us;
-    auto look = std::make_shared<std::function<void ()> > ();
 
     k.sent++;
     w.Send (c, STM_READ, nullptr, "a");
-    *look = [this, &w, &k, c, sent_us, look] {
-      if (c->busy)
-        {
-          w.At (1000, *look);
-          return;
-        }
-      if (c->oks > 0 && w.now_us - sent_us <= k.objective_us)
-        k.in_time++;
-      if (c->oks == 0)
-        k.refused++;
-      if (c->oks == 0 && sent_us - start_us >= 2000000)
-        {
-          k.told++;
-          k.told_after_us += w.now_us - sent_us;
-        }
-    };
-    w.At (0, *look);
+    Look (w, k, c, w.now_us);
+  }
+
+  // Counts how the call ended, once it has.
+  void
+  Look (PoolWorld &w, Kind &k, Caller *c, int64_t sent_us)
+  {
+    if (c->busy)
+      {
+        w.At (1000, [this, &w, &k, c, sent_us] { Look (w, k, c, sent_us); });
+        return;
+      }
+    if (c->oks > 0 && w.now_us - sent_us <= k.objective_us)
+      k.in_time++;
+    if (c->oks == 0)
+      k.refused++;
+    if (c->oks == 0 && sent_us - start_us >= 2000000)
+      {
+        k.told++;
+        k.told_after_us += w.now_us - sent_us;
+      }
   }
 };
 
