One loop that cuts lines, one test of a due seek, no state that follows from other state

Read back over the whole change; behaviour stays as it is, no test or bound is touched.

Cause and change: - the loop that cuts lines off a stream stood four times (gate.c for callers and for upstreams, lineserver.c, the soak's callers.c): stream_each_line serves all, and stream_cut_line is private to stream.c; - plr_seek_leader worked out the listed primary for every waiting statement before it knew whether a look was due; the due check, which stood twice, is begin_seek; - plr_shed looked for the flow of statements that have no patience, at every tick; - claim_is_own followed from the holder's name: holds_claim asks that; a question that also kept a time is split into watch_holder and is_claim_free; - the limit of running statements was worked out twice: running_for; - a field of gate.c that nothing used is gone.

Ruled out, looked at and left: read_caller and read_relay in lines.c (the words they take differ, and one reader for both would take TERMINATE from a proxy), accept loops (each fills another object), the same-shaped rows of tests.

--- a/packages/adapters/stream.c
+++ b/packages/adapters/stream.c
@@ -293,8 +293,10 @@
   return s->out;
 }
 
-size_t
-stream_cut_line (char *data, size_t len, char **line, size_t *line_len)
+/* Cuts the next line off DATA.  Returns the bytes used, 0 when there is no
+   whole line.  */
+static size_t
+cut_line (char *data, size_t len, char **line, size_t *line_len)
 {
   char *end = memchr (data, '\n', len);
   size_t n;
@@ -308,6 +310,26 @@
   return n + 1;
 }
 
+bool
+stream_each_line (char *data, size_t len, stream_line_fn *take, void *arg,
+                  size_t *used)
+{
+  *used = 0;
+  while (*used < len)
+    {
+      char *line;
+      size_t line_len;
+      size_t n = cut_line (data + *used, len - *used, &line, &line_len);
+
+      if (n == 0)
+        break;
+      *used += n;
+      if (!take (arg, line, line_len))
+        return false;
+    }
+  return true;
+}
+
 void
 stream_close (struct stream *s, bool flush)
 {
--- a/packages/adapters/stream.h
+++ b/packages/adapters/stream.h
@@ -56,9 +56,13 @@
 GString *stream_out (struct stream *s);
 /* Gives the bytes kept back to the owner again.  */
 void stream_resume (struct stream *s);
-/* Cuts the next line off DATA and NUL-terminates it without its end.  Returns
-   the bytes used, 0 when there is no whole line.  */
-size_t stream_cut_line (char *data, size_t len, char **line, size_t *line_len);
+/* Takes a line, which is NUL-terminated and without its end.  False: no
+   further one is to be given.  */
+typedef bool stream_line_fn (void *arg, char *line, size_t len);
+/* Gives the whole lines of DATA to TAKE, and the bytes that they made up in
+   USED.  Returns false when TAKE did.  */
+bool stream_each_line (char *data, size_t len, stream_line_fn *take, void *arg,
+                       size_t *used);
 /* Closes without an event.  PENDING output is sent first when FLUSH.  */
 void stream_close (struct stream *s, bool flush);
 
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -18,13 +18,21 @@
    ones overtake.  */
 #define RUNNING_A_SLOT 3
 
+/* Statements that one of N_HOLDERS proxies keeps at an instance.  */
+static uint32_t
+running_for (const struct svc_instance *instance, uint32_t n_holders)
+{
+  uint32_t slots = (uint32_t)MAX (instance->entry->slots, 1);
+
+  return MAX (RUNNING_A_SLOT * slots / MAX (n_holders, 1), slots);
+}
+
 struct svc_limits
 plc_limits_for (const struct svc_instance *instance, int32_t connections_max,
                 uint32_t n_vms)
 {
   const struct rly_homes *homes = &instance->homes;
   struct svc_limits l = { .running = SVC_RUNNING_ANY };
-  uint32_t slots = (uint32_t)MAX (instance->entry->slots, 1);
   uint32_t max = connections_max > 0 ? (uint32_t)connections_max : 1;
 
   if (homes->direct)
@@ -33,7 +41,7 @@
       /* Borrowed room: a burst of one proxy uses what others leave idle.  */
       l.most = MIN (2 * l.share + 1, max);
       l.most = MAX (l.most, 2);
-      l.running = MAX (RUNNING_A_SLOT * slots / MAX (n_vms, 1), slots);
+      l.running = running_for (instance, n_vms);
     }
   else if (homes->own)
     {
@@ -41,7 +49,7 @@
          when the instance still counts the connections of those before.  */
       l.most = MAX (max / MAX (homes->n, 1) / 2, 1);
       l.share = l.most;
-      l.running = MAX (RUNNING_A_SLOT * slots / MAX (homes->n, 1), slots);
+      l.running = running_for (instance, homes->n);
     }
   else
     {
--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -354,7 +354,6 @@
   struct svc_instance *i = link->instance;
   struct ses *s = q->session;
   struct stm_end out = *end;
-
   int64_t usual_us = i->round_trip_us + i->work_us;
 
   if (end->ok)
--- a/packages/core/poolshed.c
+++ b/packages/core/poolshed.c
@@ -46,8 +46,7 @@
 static void
 put_off (struct ses *s, int64_t now_us)
 {
-  if (s->patience_us == 0 || s->rank >= OVL_OVERDUE
-      || now_us - s->arrived_us < s->patience_us)
+  if (s->rank >= OVL_OVERDUE || now_us - s->arrived_us < s->patience_us)
     return;
   plr_stop_waiting (s);
   s->rank += OVL_OVERDUE;
@@ -57,11 +56,15 @@
 void
 plr_shed (struct plr *p, struct ses *s, bool entering, int64_t now_us)
 {
-  struct ovl_flow *flow = flow_for (s);
-  struct ovl_queue q = { .flow = flow, .rank = s->rank, .entering = entering };
+  struct ovl_flow *flow;
+  struct ovl_queue q = { .rank = s->rank, .entering = entering };
 
+  if (s->patience_us == 0)
+    return; /* it waits for its timeout */
+  flow = flow_for (s);
   if (!flow)
     return;
+  q.flow = flow;
   /* Only newcomers are judged by it.  */
   if (entering)
     look_ahead (s, &q, now_us);
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -288,16 +288,26 @@
     }
 }
 
+/* Whether S may be looked through again, which then counts from now.  */
+static bool
+begin_seek (struct svc *s, int64_t now_us)
+{
+  if (now_us - s->probed_us < SEEK_EVERY_US)
+    return false;
+  s->probed_us = now_us;
+  return true;
+}
+
 void
 plr_seek_leader (struct plr *p, struct svc *s, int64_t now_us)
 {
-  struct svc_instance *presumed = svc_presumed_leader (s, now_us);
+  struct svc_instance *presumed;
 
-  if (now_us - s->probed_us < SEEK_EVERY_US)
+  if (!begin_seek (s, now_us))
     return;
-  s->probed_us = now_us;
   if (s->leaderless_us == 0)
     s->leaderless_us = now_us;
+  presumed = svc_presumed_leader (s, now_us);
   if (!presumed || now_us - s->leaderless_us >= SEEK_LISTED_US)
     ask_all_lives (p, s, true, now_us);
   else if (presumed->question_us == 0)
@@ -307,10 +317,8 @@
 void
 plr_seek_candidates (struct plr *p, struct svc *s, int64_t now_us)
 {
-  if (now_us - s->probed_us < SEEK_EVERY_US)
-    return;
-  s->probed_us = now_us;
-  ask_all_lives (p, s, false, now_us);
+  if (begin_seek (s, now_us))
+    ask_all_lives (p, s, false, now_us);
 }
 
 static void
--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -74,10 +74,9 @@
   int64_t surveyed_us;
   char *primary; /* id of the last one proved or listed */
   char *target;
-  uint64_t claim;        /* revision it stands at, 0 = none */
-  int64_t claim_us;      /* when that was learned */
-  uint64_t judged_claim; /* where it stood when the verdict fell */
-  bool claim_is_own;
+  uint64_t claim;          /* revision it stands at, 0 = none */
+  int64_t claim_us;        /* when that was learned */
+  uint64_t judged_claim;   /* where it stood when the verdict fell */
   char *holder;            /* proxy that took the claim, NULL = unknown */
   int64_t holder_gone_us;  /* it isn't listed since then, 0 = it is */
   int64_t standing_due_us; /* no claim is taken in calm before */
@@ -155,6 +154,13 @@
   sv->not_before_us = now_us + pause_us;
 }
 
+/* True when this proxy took the claim that stands.  */
+static bool
+holds_claim (const struct suc_service *sv)
+{
+  return g_strcmp0 (sv->holder, sv->suc->o.vm) == 0;
+}
+
 static void
 log_judgement (struct suc_service *sv, const char *what, int64_t now_us)
 {
@@ -337,9 +343,9 @@
 is_turn (struct suc_service *sv, GHashTable *vms, int64_t now_us)
 {
   uint32_t rank
-      = sv->claim_is_own ? 0 : 1 + rank_of (sv->suc, sv->svc->name, vms);
+      = holds_claim (sv) ? 0 : 1 + rank_of (sv->suc, sv->svc->name, vms);
 
-  if (sv->claim > 0 && !sv->claim_is_own && now_us - sv->claim_us < OTHERS_US)
+  if (sv->claim > 0 && !holds_claim (sv) && now_us - sv->claim_us < OTHERS_US)
     return false;
   if (sv->ready_us == 0)
     sv->ready_us = now_us;
@@ -378,20 +384,24 @@
   return e->candidates == 0 && suc_judge (&with) != SUC_KEEP;
 }
 
+/* Keeps since when the holder of the claim isn't listed.  */
+static void
+watch_holder (struct suc_service *sv, GHashTable *vms, int64_t now_us)
+{
+  if (!sv->holder || g_hash_table_contains (vms, sv->holder))
+    sv->holder_gone_us = 0;
+  else if (sv->holder_gone_us == 0)
+    sv->holder_gone_us = now_us;
+}
+
 /* True when this proxy is to take the claim though nothing is wrong.  */
 static bool
-is_claim_free (struct suc_service *sv, GHashTable *vms, int64_t now_us)
+is_claim_free (const struct suc_service *sv, GHashTable *vms, int64_t now_us)
 {
-  if (sv->holder && g_hash_table_contains (vms, sv->holder))
-    {
-      sv->holder_gone_us = 0;
-      return false;
-    }
-  if (sv->holder && sv->holder_gone_us == 0)
-    sv->holder_gone_us = now_us;
-  if (sv->holder && now_us - sv->holder_gone_us < HOLDER_GONE_US)
-    return false;
-  return now_us >= sv->standing_due_us
+  bool gone = sv->holder_gone_us > 0
+              && now_us - sv->holder_gone_us >= HOLDER_GONE_US;
+
+  return (!sv->holder || gone) && now_us >= sv->standing_due_us
          && rank_of (sv->suc, sv->svc->name, vms) == 0;
 }
 
@@ -411,12 +421,15 @@
 {
   enum suc_verdict verdict = suc_judge (e);
 
-  if (verdict == SUC_KEEP && e->proved && is_claim_free (sv, vms, now_us))
+  if (verdict == SUC_KEEP && e->proved)
     {
-      take_standing_claim (sv, now_us);
-      return;
+      watch_holder (sv, vms, now_us);
+      if (is_claim_free (sv, vms, now_us))
+        {
+          take_standing_claim (sv, now_us);
+          return;
+        }
     }
-
   if (lacks_candidates (e))
     plr_seek_candidates (sv->suc->o.pooler, sv->svc, now_us);
   if (verdict == SUC_KEEP)
@@ -475,7 +488,7 @@
   struct svc_instance *target;
 
   /* Another proxy has claimed meanwhile, and acts on the same verdict.  */
-  if (sv->claim != sv->judged_claim && !sv->claim_is_own)
+  if (sv->claim != sv->judged_claim && !holds_claim (sv))
     {
       calm_down (sv, PAUSE_US, now_us);
       return;
@@ -585,7 +598,7 @@
       on_settling (sv, now_us);
       break;
     case CLAIMING:
-      if (sv->claim_is_own && now_us - sv->since_us > CLAIM_WAIT_US)
+      if (holds_claim (sv) && now_us - sv->since_us > CLAIM_WAIT_US)
         act (sv, sv->claim, now_us);
       break;
     case CLAIMING_IN_CALM:
@@ -622,7 +635,6 @@
     return;
   sv->claim = revision;
   sv->claim_us = now_us;
-  sv->claim_is_own = strcmp (vm, s->o.vm) == 0;
   g_free (sv->holder);
   sv->holder = g_strdup (vm);
   sv->holder_gone_us = 0;
@@ -654,7 +666,7 @@
       suc_note_claim (s, service, s->o.vm, token, now_us);
       act (sv, token, now_us);
     }
-  else if (!settled && sv->claim_is_own)
+  else if (!settled && holds_claim (sv))
     /* The store is away, but nobody else can have claimed since; where one
        has, the fencing token is refused.  */
     act (sv, sv->claim, now_us);
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -57,7 +57,6 @@
   struct stream *stream;
   struct ul *link;
   bool started;
-  bool failed;
   struct stm_end end; /* being received */
   GString *rows;
   char *signature;
@@ -158,9 +157,17 @@
   drop_caller (c, true);
 }
 
-static void
-on_caller_line (struct caller *c, char *line, size_t len)
+/* One statement at a time is taken.  */
+static bool
+may_take_line (const struct caller *c)
 {
+  return !c->gone && !c->busy;
+}
+
+static bool
+on_caller_line (void *arg, char *line, size_t len)
+{
+  struct caller *c = arg;
   struct gate *g = c->gate;
   struct codec_caller m;
   /* Taken after the bytes were read: they are not newer.  */
@@ -183,6 +190,7 @@
     }
   else
     refuse_caller (c, SQC_MALFORMED, now_us);
+  return may_take_line (c);
 }
 
 static size_t
@@ -191,17 +199,8 @@
   struct caller *c = arg;
   size_t used = 0;
 
-  while (!c->gone && !c->busy && used < len)
-    {
-      char *line;
-      size_t line_len;
-      size_t n = stream_cut_line (data + used, len - used, &line, &line_len);
-
-      if (n == 0)
-        break;
-      used += n;
-      on_caller_line (c, line, line_len);
-    }
+  if (may_take_line (c))
+    stream_each_line (data, len, on_caller_line, c, &used);
   if (!c->gone && len - used > CODEC_MESSAGE_MAX)
     refuse_caller (c, SQC_TOO_LARGE, loop_now_us ());
   return used;
@@ -391,9 +390,11 @@
   return false;
 }
 
+/* Returns false when U is gone.  */
 static bool
-on_up_line (struct up *u, char *line, size_t len)
+on_up_line (void *arg, char *line, size_t len)
 {
+  struct up *u = arg;
   struct gate *g = u->gate;
   struct codec_upstream m;
 
@@ -433,20 +434,10 @@
 {
   struct up *u = arg;
   struct gate *g = u->gate;
-  size_t used = 0;
+  size_t used;
 
-  while (used < len)
-    {
-      char *line;
-      size_t line_len;
-      size_t n = stream_cut_line (data + used, len - used, &line, &line_len);
-
-      if (n == 0)
-        break;
-      used += n;
-      if (!on_up_line (u, line, line_len))
-        return len;
-    }
+  if (!stream_each_line (data, len, on_up_line, u, &used))
+    return len;
   if (len - used + u->rows->len > CODEC_MESSAGE_MAX)
     {
       plr_link_lost (g->pooler, u->link, false, loop_now_us ());
--- a/tests/fakes/lineserver.c
+++ b/tests/fakes/lineserver.c
@@ -113,9 +113,17 @@
   c->silent = c->silent || (work && happens (s->faults.lose_answer));
 }
 
-static void
-take_line (struct conn *c, char *line, size_t len)
+/* Answers leave one after the other.  */
+static bool
+may_take_line (const struct conn *c)
 {
+  return !c->gone && c->due_us == 0 && !c->server->faults.unresponsive;
+}
+
+static bool
+take_line (void *arg, char *line, size_t len)
+{
+  struct conn *c = arg;
   struct lsv *s = c->server;
   struct codec_caller m;
 
@@ -126,6 +134,7 @@
     run (c, &m);
   else
     drop (c, false);
+  return may_take_line (c);
 }
 
 static size_t
@@ -134,18 +143,8 @@
   struct conn *c = arg;
   size_t used = 0;
 
-  while (!c->gone && c->due_us == 0 && !c->server->faults.unresponsive
-         && used < len)
-    {
-      char *line;
-      size_t line_len;
-      size_t n = stream_cut_line (data + used, len - used, &line, &line_len);
-
-      if (n == 0)
-        break;
-      used += n;
-      take_line (c, line, line_len);
-    }
+  if (may_take_line (c))
+    stream_each_line (data, len, take_line, c, &used);
   return used;
 }
 
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -120,9 +120,10 @@
       = loop_now_us () + g_rand_int_range (c->soak->random, 2000, 60000);
 }
 
-static void
-on_line (struct caller *c, char *line, size_t len)
+static bool
+on_line (void *arg, char *line, size_t len)
 {
+  struct caller *c = arg;
   struct codec_upstream m;
 
   lin_codec ()->ops->read_upstream (lin_codec (), line, len, &m);
@@ -145,6 +146,7 @@
       soak_fail ("%s got a line that is none: %.60s", c->name, line);
       break;
     }
+  return c->stream != NULL;
 }
 
 static size_t
@@ -153,17 +155,8 @@
   struct caller *c = arg;
   size_t used = 0;
 
-  while (c->stream && used < len)
-    {
-      char *line;
-      size_t line_len;
-      size_t n = stream_cut_line (data + used, len - used, &line, &line_len);
-
-      if (n == 0)
-        break;
-      used += n;
-      on_line (c, line, line_len);
-    }
+  if (c->stream)
+    stream_each_line (data, len, on_line, c, &used);
   return used;
 }
 
