A doubt and a full instance concern the proxies that hold the connections

Cause: after a loss of all power each of 295 VMs stood still for 2.3 s at a time. Every VM that met a full instance asked all others, every 100 ms, to give a connection back, and every VM that missed a primary asked all others for a vote: 294 ZeroMQ links opened at once on 0.12 of a core, and a message to each again and again. Ruled out: the handshakes alone (the same collapse went on long after the instances had freed them).

Change: a full instance is asked for at its homes; a primary is judged by the homes of its group's instances (at most 12), who ask, vote, count and claim among themselves. Proxies that hold nothing neither ask nor vote.

--- a/packages/core/pooldir.c
+++ b/packages/core/pooldir.c
@@ -91,6 +91,7 @@
     }
   plr_free_dropped (p);
   svc_remove (s, i);
+  s->judges_generation = 0;
 }
 
 /* A first listing, or the same id at another place: a new process.  */
@@ -105,6 +106,7 @@
   if (i)
     plr_forget_instance (p, i, now_us);
   i = svc_add (s, d);
+  s->judges_generation = 0;
   i->round_trip_us = first_round_trip_us (p, d->data_centre);
   log_instance (p, d, "listed", now_us);
   return i;
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -38,10 +38,12 @@
   int64_t leave_us;    /* a leaving primary may lead on for so long */
 };
 
-/* Asks the other proxies to give a connection to INSTANCE back, where they
-   have more than their share.  */
+/* Asks the other proxies that hold connections to INSTANCE, which are HOLDERS
+   or all when it is NULL, to give one back where they have more than their
+   share.  */
 typedef void plr_yield_fn (void *arg, const char *service,
-                           const char *instance);
+                           const char *instance,
+                           const struct rly_homes *holders);
 
 struct plr;
 
@@ -136,6 +138,11 @@
 
 /* For the succession: the groups known.  */
 GHashTable *plr_services (struct plr *p);
+/* The proxies that judge the primary of S together, a set of names: those that
+   hold connections to its instances, so that their number follows the group
+   and not the fleet.  NULL: all proxies.  Borrowed until the proxies
+   change.  */
+GHashTable *plr_judges (struct plr *p, struct svc *s);
 /* Asks every usable instance of S for its status.  */
 void plr_ask_status (struct plr *p, struct svc *s, int64_t now_us);
 /* Makes sure that the primary of S is being looked for.  */
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -55,6 +55,44 @@
     }
 }
 
+/* The homes of all instances of S, as a set.  NULL when all proxies go
+   directly.  */
+static GHashTable *
+collect_homes (const struct svc *s)
+{
+  GHashTable *names;
+
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      const struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+      if (i->homes.direct)
+        return NULL;
+    }
+  names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint n = 0; n < s->instances->len; n++)
+    {
+      const struct svc_instance *i = g_ptr_array_index (s->instances, n);
+
+      for (uint32_t k = 0; k < i->homes.n; k++)
+        g_hash_table_add (names, g_strdup (i->homes.vms[k]->name));
+    }
+  return names;
+}
+
+GHashTable *
+plr_judges (struct plr *p, struct svc *s)
+{
+  plr_update_homes (p, s);
+  if (s->judges_generation == p->vms.generation)
+    return s->judges;
+  if (s->judges)
+    g_hash_table_destroy (s->judges);
+  s->judges = collect_homes (s);
+  s->judges_generation = p->vms.generation;
+  return s->judges;
+}
+
 bool
 plr_has_surplus (const struct svc_instance *i)
 {
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -211,7 +211,8 @@
       || now_us - i->yield_asked_us < YIELD_ASK_EVERY_US)
     return;
   i->yield_asked_us = now_us;
-  p->starved (p->starved_arg, i->svc->name, i->entry->id);
+  p->starved (p->starved_arg, i->svc->name, i->entry->id,
+              i->homes.direct ? NULL : &i->homes);
 }
 
 void
--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -323,14 +323,14 @@
 /* Steps.  */
 
 static uint32_t
-rank_of (const struct suc *s, const char *service, GHashTable *vms)
+rank_of (const struct suc *s, const char *service, GHashTable *judges)
 {
   uint64_t own = rdv_weight (service, s->o.vm);
   uint32_t rank = 0;
   GHashTableIter iter;
   gpointer vm;
 
-  g_hash_table_iter_init (&iter, vms);
+  g_hash_table_iter_init (&iter, judges);
   while (g_hash_table_iter_next (&iter, &vm, NULL))
     if (strcmp (vm, s->o.vm) != 0 && rdv_weight (service, vm) > own)
       rank++;
@@ -340,10 +340,10 @@
 /* Whose turn it is: the holder of the claim first, then by rank; nobody while
    another one has just claimed.  */
 static bool
-is_turn (struct suc_service *sv, GHashTable *vms, int64_t now_us)
+is_turn (struct suc_service *sv, GHashTable *judges, int64_t now_us)
 {
   uint32_t rank
-      = holds_claim (sv) ? 0 : 1 + rank_of (sv->suc, sv->svc->name, vms);
+      = holds_claim (sv) ? 0 : 1 + rank_of (sv->suc, sv->svc->name, judges);
 
   if (sv->claim > 0 && !holds_claim (sv) && now_us - sv->claim_us < OTHERS_US)
     return false;
@@ -384,11 +384,11 @@
   return e->candidates == 0 && suc_judge (&with) != SUC_KEEP;
 }
 
-/* Keeps since when the holder of the claim isn't listed.  */
+/* Keeps since when the holder of the claim is no judge, or gone.  */
 static void
-watch_holder (struct suc_service *sv, GHashTable *vms, int64_t now_us)
+watch_holder (struct suc_service *sv, GHashTable *judges, int64_t now_us)
 {
-  if (!sv->holder || g_hash_table_contains (vms, sv->holder))
+  if (!sv->holder || g_hash_table_contains (judges, sv->holder))
     sv->holder_gone_us = 0;
   else if (sv->holder_gone_us == 0)
     sv->holder_gone_us = now_us;
@@ -396,13 +396,13 @@
 
 /* True when this proxy is to take the claim though nothing is wrong.  */
 static bool
-is_claim_free (const struct suc_service *sv, GHashTable *vms, int64_t now_us)
+is_claim_free (const struct suc_service *sv, GHashTable *judges, int64_t now_us)
 {
   bool gone = sv->holder_gone_us > 0
               && now_us - sv->holder_gone_us >= HOLDER_GONE_US;
 
   return (!sv->holder || gone) && now_us >= sv->standing_due_us
-         && rank_of (sv->suc, sv->svc->name, vms) == 0;
+         && rank_of (sv->suc, sv->svc->name, judges) == 0;
 }
 
 static void
@@ -416,15 +416,20 @@
 }
 
 static void
-on_calm (struct suc_service *sv, const struct suc_evidence *e, GHashTable *vms,
+on_calm (struct suc_service *sv, const struct suc_evidence *e, GHashTable *judges,
          int64_t now_us)
 {
   enum suc_verdict verdict = suc_judge (e);
 
+  if (!g_hash_table_contains (judges, sv->suc->o.vm))
+    {
+      sv->ready_us = 0;
+      return;
+    }
   if (verdict == SUC_KEEP && e->proved)
     {
-      watch_holder (sv, vms, now_us);
-      if (is_claim_free (sv, vms, now_us))
+      watch_holder (sv, judges, now_us);
+      if (is_claim_free (sv, judges, now_us))
         {
           take_standing_claim (sv, now_us);
           return;
@@ -435,20 +440,21 @@
   if (verdict == SUC_KEEP)
     sv->ready_us = 0;
   if (verdict == SUC_KEEP || now_us < sv->not_before_us
-      || !is_turn (sv, vms, now_us))
+      || !is_turn (sv, judges, now_us))
     return;
   if (verdict == SUC_REPLACE)
     {
       start_survey (sv, e, now_us);
       return;
     }
-  sv->votes = (struct suc_votes){ 0, 1, 1, g_hash_table_size (vms) };
+  sv->votes = (struct suc_votes){ 0, 1, 1, g_hash_table_size (judges) };
   sv->cause = cause_of (e);
   enter (sv, ASKING, now_us);
   EV (sv->suc->o.log, now_us, EV_VOTE, EV_TEXT ("service", sv->svc->name),
       EV_TEXT ("instance", sv->primary), EV_TEXT ("vote", "asked"),
       EV_INT ("proxies", sv->votes.proxies));
-  sv->suc->o.port->ops->ask (sv->suc->o.port, sv->svc->name, sv->primary);
+  sv->suc->o.port->ops->ask (sv->suc->o.port, sv->svc->name, sv->primary,
+                             judges);
 }
 
 static void
@@ -571,7 +577,7 @@
 }
 
 static void
-tick_service (struct suc_service *sv, GHashTable *vms, int64_t now_us)
+tick_service (struct suc_service *sv, GHashTable *judges, int64_t now_us)
 {
   struct svc_instance *primary = primary_of (sv);
   struct suc_evidence e = gather (sv, primary, now_us);
@@ -579,7 +585,7 @@
   switch (sv->state)
     {
     case CALM:
-      on_calm (sv, &e, vms, now_us);
+      on_calm (sv, &e, judges, now_us);
       break;
     case ASKING:
       on_asking (sv, &e, now_us);
@@ -617,9 +623,12 @@
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
       struct suc_service *sv = service_of (s, name);
+      GHashTable *judges;
 
-      if (sv->svc->instances->len > 0)
-        tick_service (sv, vms, now_us);
+      if (sv->svc->instances->len == 0)
+        continue;
+      judges = plr_judges (s->o.pooler, sv->svc);
+      tick_service (sv, judges ? judges : vms, now_us);
     }
 }
 
--- a/packages/core/succeed.h
+++ b/packages/core/succeed.h
@@ -2,7 +2,9 @@
    proxies who acts, and has the best replica promoted.
 
    Nobody reports a dead primary.  A proxy that can't reach it asks its peers,
-   since one broken link is no reason.  The right to act is a claim in the
+   since one broken link is no reason.  Where homes hold the connections only
+   they judge: a doubt concerns a few proxies, however many there are.  The
+   right to act is a claim in the
    platform's store, taken by compare-and-swap; its revision is the fencing
    token of the promotion, so it rises with each claim and two proxies never
    share one.  The claim stands until another proxy takes it, and no lease has
@@ -60,10 +62,10 @@
   /* Ends in suc_promoted.  */
   void (*promote) (struct suc_port *port, const char *service,
                    const char *instance, uint64_t token);
-  /* Asks all peers whether they reach INSTANCE; ends in any number of
-     suc_voted.  */
+  /* Asks JUDGES, a set of names, whether they reach INSTANCE; ends in any
+     number of suc_voted.  */
   void (*ask) (struct suc_port *port, const char *service,
-               const char *instance);
+               const char *instance, GHashTable *judges);
 };
 
 struct suc_port
@@ -111,7 +113,7 @@
   uint32_t reached;
   uint32_t missed;
   uint32_t voted;   /* of any kind */
-  uint32_t proxies; /* that the directory lists */
+  uint32_t proxies; /* that judge the service */
 };
 
 /* True when they speak for replacing it.  */
--- a/packages/core/svc.c
+++ b/packages/core/svc.c
@@ -42,6 +42,8 @@
     free_instance (g_ptr_array_index (s->instances, i));
   g_ptr_array_free (s->instances, TRUE);
   g_queue_clear (&s->waiting);
+  if (s->judges)
+    g_hash_table_destroy (s->judges);
   g_free (s->name);
   g_free (s);
 }
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -50,35 +50,58 @@
   c->o.sink.promote (c->o.sink.arg, service, instance, token);
 }
 
-/* Sends a question about INSTANCE to all other proxies.  */
 static void
-ask_all (struct cluster *c, enum gsp_kind kind, const char *service,
-         const char *instance)
+ask_one (struct cluster *c, const char *vm, const struct gsp_message *m)
+{
+  const char *address = g_hash_table_lookup (c->vms, vm);
+
+  if (address && strcmp (vm, c->o.vm) != 0)
+    send_to (c, vm, address, m);
+}
+
+/* Sends M to all other proxies whose names are in VMS.  */
+static void
+ask_each (struct cluster *c, GHashTable *vms, const struct gsp_message *m)
 {
-  struct gsp_message m = { 0 };
   GHashTableIter iter;
   gpointer vm;
-  gpointer address;
+
+  g_hash_table_iter_init (&iter, vms);
+  while (g_hash_table_iter_next (&iter, &vm, NULL))
+    ask_one (c, vm, m);
+}
+
+static struct gsp_message
+question (enum gsp_kind kind, const char *service, const char *instance)
+{
+  struct gsp_message m = { 0 };
 
   m.kind = kind;
   m.service = (char *)service;
   m.instance = (char *)instance;
-  g_hash_table_iter_init (&iter, c->vms);
-  while (g_hash_table_iter_next (&iter, &vm, &address))
-    if (strcmp (vm, c->o.vm) != 0)
-      send_to (c, vm, address, &m);
+  return m;
 }
 
 static void
-on_ask (struct suc_port *port, const char *service, const char *instance)
+on_ask (struct suc_port *port, const char *service, const char *instance,
+        GHashTable *judges)
 {
-  ask_all (cluster_of (port), GSP_ASK, service, instance);
+  struct gsp_message m = question (GSP_ASK, service, instance);
+
+  ask_each (cluster_of (port), judges, &m);
 }
 
 static void
-on_starved (void *arg, const char *service, const char *instance)
+on_starved (void *arg, const char *service, const char *instance,
+            const struct rly_homes *holders)
 {
-  ask_all (arg, GSP_YIELD, service, instance);
+  struct cluster *c = arg;
+  struct gsp_message m = question (GSP_YIELD, service, instance);
+
+  if (!holders)
+    ask_each (c, c->vms, &m);
+  for (uint32_t k = 0; holders && k < holders->n; k++)
+    ask_one (c, holders->vms[k]->name, &m);
 }
 
 static const struct suc_port_ops suc_ops = { on_claim, on_promote, on_ask };
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -270,12 +270,15 @@
 }
 
 void
-AskPeers (struct suc_port *port, const char *service, const char *instance)
+AskPeers (struct suc_port *port, const char *service, const char *instance,
+          GHashTable *judges)
 {
   PoolWorld *w = WorldOf (port);
   std::string name = service;
   std::string id = instance;
 
+  w->asked += g_hash_table_size (judges);
+
   w->At (20000, [w, name, id] {
     for (uint32_t n = 0; n < w->votes_reached; n++)
       suc_voted (w->suc, name.c_str (), id.c_str (), "vm-2", SUC_VOTE_REACHED,
--- a/tests/unit/succeed_test.cc
+++ b/tests/unit/succeed_test.cc
@@ -317,4 +317,54 @@
   EXPECT_EQ (w.promoted.size (), 1u);
   ExpectNoBreach (w);
 }
+// However many proxies there are, a doubt concerns those that hold connections
+// to the group, and a full instance is asked for at its homes alone.
+TEST (Succession, ADoubtConcernsAFewProxies)
+{
+  struct
+  {
+    const char *what;
+    int others;
+    const char *own_data_centre;
+    uint32_t asked_least, asked_most;
+    size_t promotions;
+  } const cases[] = {
+    { "alone", 0, "a", 1, 1, 1 },
+    { "a few, all go directly", 3, "a", 4, 4, 1 },
+    { "a home among 100", 99, "a", 2, 6, 1 },
+    { "a home among 300", 299, "a", 2, 6, 1 },
+    { "no home among 300", 299, "z", 0, 0, 0 },
+  };
+  for (const auto &c : cases)
+    {
+      PoolWorld w (21);
+      std::vector<std::string> names;
+
+      for (int n = 0; n < c.others; n++)
+        names.push_back ("other-" + std::to_string (n));
+      for (size_t n = 0; n < names.size (); n++)
+        {
+          const char *where = c.own_data_centre[0] == 'a' && n % 2 ? "c" : "b";
+
+          if (c.own_data_centre[0] == 'z' && n % 2)
+            where = "a";
+          plr_set_vm (w.pooler, names[n].c_str (), "10.0.0.9:1", where, 0.1);
+          g_hash_table_add (w.vms, (gpointer)names[n].c_str ());
+        }
+      plr_set_vm (w.pooler, "vm-1", "10.0.0.8:1", c.own_data_centre, 0.1);
+      w.votes_missed = c.asked_most > 3 ? 5 : 3;
+      Caller *x = w.Open ("fresh");
+      EXPECT_EQ (w.Ask (x, STM_WRITE, nullptr, "a 1"), "ok") << c.what;
+      w.Run (500000);
+      w.unresponsive["i-0"] = true;
+      for (int n = 0; n < 20; n++)
+        {
+          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+          w.Run (100000);
+        }
+      EXPECT_GE (w.asked, c.asked_least) << c.what;
+      EXPECT_LE (w.asked, c.asked_most) << c.what;
+      EXPECT_EQ (w.promoted.size (), c.promotions) << c.what;
+    }
+}
 } // namespace
