The proxies are listed first, and nothing is opened before they are known

Cause: instances and configuration were read before the proxies, so that a VM that had just started took itself for one of a few and connected to every instance, as did the 294 others: 5,696 connections over the cap, each handshake 12 ms of a slot.

They are at once when the store still held this VM's entry from before its start; else once no more come for 0.3 s, at the longest 1.5 s.

--- /dev/null
+++ b/packages/core/items.h
@@ -0,0 +1,37 @@
+/* What this proxy holds of the platform's store: the newest revision of each
+   item, removed ones included, so that nothing older is taken again from
+   whatever source it comes: a watch, a listing or another proxy.  */
+#ifndef CB_ITEMS_H
+#define CB_ITEMS_H
+
+#include "gossip.h"
+
+struct itm_cache;
+
+/* An item that a listing lacked.  */
+typedef void itm_gone_fn (void *arg, const char *key);
+
+struct itm_cache *itm_new (void);
+void itm_free (struct itm_cache *c);
+/* Remembers ITEM.  False when it is no news about its key.  */
+bool itm_learn (struct itm_cache *c, const struct gsp_item *item);
+/* The newest revision of any item, 0 = none.  */
+uint64_t itm_newest (const struct itm_cache *c);
+/* Items present whose keys begin with PREFIX.  */
+uint32_t itm_count (const struct itm_cache *c, const char *prefix);
+/* True when KEY is present.  */
+bool itm_has (const struct itm_cache *c, const char *key);
+
+/* A listing under PREFIX that began when the store stood at AT_REVISION; each
+   key of it is noted, then it ends.  Items held under the prefix that are no
+   newer and were not listed are removed: GONE is told of each.  */
+void itm_begin_listing (struct itm_cache *c, const char *prefix,
+                        uint64_t at_revision);
+void itm_note_listed (struct itm_cache *c, const char *key);
+void itm_end_listing (struct itm_cache *c, itm_gone_fn *gone, void *arg);
+
+/* Adds the items newer than REVISION to MESSAGE, as many as it takes.  */
+void itm_collect (const struct itm_cache *c, uint64_t revision,
+                  struct gsp_message *message);
+
+#endif
--- a/packages/core/pooldir.c
+++ b/packages/core/pooldir.c
@@ -180,20 +180,6 @@
     }
 }
 
-static void
-visit_unlisted (struct plr *p, struct svc_instance *i, const void *listed_ids,
-                int64_t now_us)
-{
-  if (!g_hash_table_contains ((GHashTable *)listed_ids, i->entry->id))
-    mark_missing (p, i, now_us);
-}
-
-void
-plr_end_listing (struct plr *p, GHashTable *listed_ids, int64_t now_us)
-{
-  for_each_instance (p, visit_unlisted, listed_ids, now_us);
-}
-
 /* The time of missing counts from the return of the directory.  */
 static void
 restart_missing (struct plr *p, struct svc_instance *i, const void *unused,
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -105,6 +105,24 @@
   rly_set (&p->vms, name, address, data_centre, capacity);
 }
 
+void
+plr_await_vms (struct plr *p)
+{
+  rly_await (&p->vms);
+}
+
+void
+plr_vms_listed (struct plr *p, bool again, int64_t now_us)
+{
+  rly_note_listed (&p->vms, again, now_us);
+}
+
+bool
+plr_knows_vms (struct plr *p, int64_t now_us)
+{
+  return rly_is_known (&p->vms, now_us);
+}
+
 void
 plr_remove_vm (struct plr *p, const char *name)
 {
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -62,9 +62,6 @@
                         int64_t now_us);
 /* The directory lost the instance.  */
 void plr_unlist_instance (struct plr *p, const char *id, int64_t now_us);
-/* The directory was read in full: instances whose id is not in LISTED_IDS, a
-   set, are missing.  */
-void plr_end_listing (struct plr *p, GHashTable *listed_ids, int64_t now_us);
 /* Whether the directory can be trusted to be current.  While it can't,
    missing instances stay in use.  */
 void plr_directory_state (struct plr *p, bool reachable, int64_t now_us);
@@ -73,6 +70,12 @@
 void plr_set_vm (struct plr *p, const char *name, const char *address,
                  const char *data_centre, double capacity);
 void plr_remove_vm (struct plr *p, const char *name);
+/* Until the proxies are known nothing is opened: a proxy that takes itself for
+   one of a few would connect to every instance, and so would all others that
+   start with it.  See rly_await.  */
+void plr_await_vms (struct plr *p);
+void plr_vms_listed (struct plr *p, bool again, int64_t now_us);
+bool plr_knows_vms (struct plr *p, int64_t now_us);
 
 /* Connections.  */
 
--- a/packages/core/relay.c
+++ b/packages/core/relay.c
@@ -15,6 +15,9 @@
    as many that are free after a power loss, when the instance still counts
    those before.  */
 #define DIRECT_LINKS_MIN 4
+/* Proxies that start together list themselves within this time of one
+   another.  */
+#define QUIET_US 300000
 /* A proxy that doesn't say what it can carry.  */
 #define CAPACITY_DEFAULT 0.25
 
@@ -76,6 +79,38 @@
   t->generation++;
 }
 
+void
+rly_await (struct rly_table *t)
+{
+  t->awaited = true;
+}
+
+void
+rly_note_listed (struct rly_table *t, bool again, int64_t now_us)
+{
+  t->listed_us = now_us;
+  t->quiet_us = now_us;
+  t->n_quiet = t->vms->len;
+  if (again)
+    t->awaited = false;
+}
+
+bool
+rly_is_known (struct rly_table *t, int64_t now_us)
+{
+  if (!t->awaited)
+    return true;
+  if (t->listed_us == 0)
+    return false;
+  if (t->vms->len != t->n_quiet)
+    t->quiet_us = now_us;
+  t->n_quiet = t->vms->len;
+  if (now_us - t->quiet_us >= QUIET_US
+      || now_us - t->listed_us >= RLY_AWAIT_US)
+    t->awaited = false;
+  return !t->awaited;
+}
+
 const struct rly_vm *
 rly_get (const struct rly_table *t, const char *name)
 {
--- a/packages/core/relay.h
+++ b/packages/core/relay.h
@@ -29,6 +29,10 @@
   uint64_t generation; /* changes with every change */
   char *own;
   GHashTable *regions; /* data centre -> region, borrowed */
+  bool awaited;        /* not known well enough to act on */
+  int64_t listed_us;   /* first read then, 0 = not yet */
+  uint32_t n_quiet;    /* proxies known when it was last looked at, ... */
+  int64_t quiet_us;    /* ... and since when there are no more */
 };
 
 /* The homes of an instance.  The VMs are borrowed until GENERATION passes.  */
@@ -47,6 +51,15 @@
 void rly_set (struct rly_table *t, const char *name, const char *address,
               const char *data_centre, double capacity);
 void rly_remove (struct rly_table *t, const char *name);
+/* The table is not known yet.  It is from the first listing on when that held
+   this proxy's entry AGAIN: the others' entries outlived their processes too.
+   Else proxies may be starting together, and it is known once no more come for
+   a while, at the longest RLY_AWAIT_US after the listing.  */
+#define RLY_AWAIT_US 1500000
+void rly_await (struct rly_table *t);
+void rly_note_listed (struct rly_table *t, bool again, int64_t now_us);
+/* Looks at the table again, and says whether it is known.  */
+bool rly_is_known (struct rly_table *t, int64_t now_us);
 /* The proxy of that name, NULL when unknown or NAME is.  */
 const struct rly_vm *rly_get (const struct rly_table *t, const char *name);
 /* The homes of INSTANCE, by weighted rendezvous hashing: near ones first, the
--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -619,6 +619,8 @@
   GHashTableIter iter;
   gpointer name;
 
+  if (!plr_knows_vms (s->o.pooler, now_us))
+    return;
   g_hash_table_iter_init (&iter, plr_services (s->o.pooler));
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
--- /dev/null
+++ b/tests/unit/fleet_test.cc
@@ -0,0 +1,174 @@
+// What proxies know of one another and of the store's items.
+#include "poolworld.h"
+
+#include <gtest/gtest.h>
+#include <set>
+extern "C"
+{
+#include "items.h"
+}
+
+namespace
+{
+struct gsp_item
+Item (const char *key, const char *value, uint64_t revision)
+{
+  return { (char *)key, (char *)value, revision };
+}
+
+void
+NoteGone (void *arg, const char *key)
+{
+  ((std::set<std::string> *)arg)->insert (key);
+}
+
+// Whatever the source, nothing older than what is known comes back.
+TEST (Items, NothingOlderIsTaken)
+{
+  struct
+  {
+    const char *what;
+    struct gsp_item item;
+    bool news;
+  } const steps[] = {
+    { "first", Item ("a", "1", 5), true },
+    { "again", Item ("a", "1", 5), false },
+    { "older", Item ("a", "0", 4), false },
+    { "newer", Item ("a", "2", 8), true },
+    { "removed", Item ("a", nullptr, 9), true },
+    { "back from a proxy that missed the removal", Item ("a", "2", 8), false },
+    { "written anew", Item ("a", "3", 10), true },
+  };
+  struct itm_cache *c = itm_new ();
+
+  for (const auto &s : steps)
+    EXPECT_EQ (itm_learn (c, &s.item), s.news) << s.what;
+  EXPECT_EQ (itm_newest (c), 10u);
+  itm_free (c);
+}
+
+// The history was lost: what vanished meanwhile shows by its absence.
+TEST (Items, AListingRemovesWhatItLacks)
+{
+  struct
+  {
+    const char *what;
+    const char *key;
+    uint64_t revision;
+    bool listed;
+    bool gone;
+  } const cases[] = {
+    { "still there", "vm/a", 5, true, false },
+    { "vanished", "vm/b", 6, false, true },
+    { "of another prefix", "servers/a", 4, false, false },
+    { "learned of after the listing began", "vm/c", 21, false, false },
+  };
+  struct itm_cache *c = itm_new ();
+  std::set<std::string> gone;
+
+  for (const auto &k : cases)
+    {
+      struct gsp_item item = Item (k.key, "x", k.revision);
+
+      itm_learn (c, &item);
+    }
+  itm_begin_listing (c, "vm/", 20);
+  for (const auto &k : cases)
+    if (k.listed)
+      itm_note_listed (c, k.key);
+  itm_end_listing (c, NoteGone, &gone);
+  for (const auto &k : cases)
+    {
+      EXPECT_EQ (gone.count (k.key) > 0, k.gone) << k.what;
+      EXPECT_EQ (itm_has (c, k.key), !k.gone) << k.what;
+    }
+  // A proxy that missed the removal doesn't bring it back, here or elsewhere.
+  struct gsp_item old = Item ("vm/b", "x", 6);
+  EXPECT_FALSE (itm_learn (c, &old));
+  struct gsp_message m = {};
+  m.items = g_new0 (struct gsp_item, GSP_ITEMS_MAX);
+  itm_collect (c, 0, &m);
+  for (uint32_t i = 0; i < m.n_items; i++)
+    if (std::string (m.items[i].key) == "vm/b")
+      {
+        EXPECT_EQ (m.items[i].value, nullptr);
+      }
+  gsp_clear (&m);
+  itm_free (c);
+}
+
+// When a proxy knows enough of the others to act on it.
+TEST (Fleet, KnownOnceNoMoreCome)
+{
+  struct
+  {
+    const char *what;
+    bool awaits;
+    bool again;
+    int64_t each_us; // another proxy is listed so often ...
+    int n;           // ... so many times
+    int64_t known_least_us, known_most_us;
+  } const cases[] = {
+    { "not awaited", false, false, 0, 0, 0, 0 },
+    { "its own entry outlived it", true, true, 0, 0, 0, 0 },
+    { "alone", true, false, 0, 0, 200000, 400000 },
+    { "300 start with it", true, false, 2000, 300, 800000, 1100000 },
+    { "they come without end", true, false, 100000, 100, 1400000, 1600000 },
+  };
+  for (const auto &c : cases)
+    {
+      struct rly_table t = {};
+      GHashTable *regions = g_hash_table_new (g_str_hash, g_str_equal);
+      int64_t known_us = -1;
+
+      rly_init (&t, "vm-0", regions);
+      if (c.awaits)
+        {
+          rly_await (&t);
+          EXPECT_FALSE (rly_is_known (&t, 100)) << c.what;
+          rly_note_listed (&t, c.again, 1000000);
+        }
+      for (int64_t us = 0; known_us < 0 && us < 3000000; us += 20000)
+        {
+          for (int n = 0; n < c.n; n++)
+            if (n * c.each_us <= us)
+              {
+                std::string name = "vm-" + std::to_string (n);
+
+                if (!rly_get (&t, name.c_str ()))
+                  rly_set (&t, name.c_str (), "10.0.0.1:1", "a", 0.1);
+              }
+          if (rly_is_known (&t, 1000000 + us))
+            known_us = us;
+        }
+      EXPECT_GE (known_us, c.known_least_us) << c.what;
+      EXPECT_LE (known_us, c.known_most_us) << c.what;
+      rly_free (&t);
+      g_hash_table_destroy (regions);
+    }
+}
+
+// A proxy that starts among many opens nothing to an instance before it knows
+// them, and then only what its share is.
+TEST (Fleet, AColdProxyOpensNothingBeforeItKnowsTheOthers)
+{
+  PoolWorld w (31);
+  size_t opened_before;
+
+  plr_await_vms (w.pooler);
+  opened_before = w.ups.size ();
+  w.Run (300000);
+  EXPECT_EQ (w.ups.size (), opened_before);
+  plr_vms_listed (w.pooler, false, w.now_us);
+  for (int n = 0; n < 300; n++)
+    plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (), "10.0.0.9:1",
+                "b", 0.1);
+  w.Run (200000);
+  EXPECT_EQ (w.ups.size (), opened_before) << "others may still come";
+  w.Run (1000000);
+  EXPECT_TRUE (plr_knows_vms (w.pooler, w.now_us));
+  EXPECT_GT (w.ups.size (), opened_before);
+  for (size_t n = opened_before; n < w.ups.size (); n++)
+    EXPECT_TRUE (w.ups[n]->via_home) << "this proxy is no home";
+}
+} // namespace
