A fleet of 300 poolers on virtual time

Homes and the proxies that go through them are all real; instances of the database model have slots that handshakes take, caps, and count lost connections for 3 s.

--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -1,4 +1,5 @@
 // What proxies know of one another and of the store's items.
+#include "fleetworld.h"
 #include "poolworld.h"
 
 #include <gtest/gtest.h>
@@ -171,4 +172,55 @@
   for (size_t n = opened_before; n < w.ups.size (); n++)
     EXPECT_TRUE (w.ups[n]->via_home) << "this proxy is no home";
 }
+
+// All proxies lose power and start again, before instances that still count
+// the connections of the former processes.
+TEST (Fleet, AFleetThatLostPowerServesAgain)
+{
+  const int64_t kServedWithinUs = 8000000;
+  const double kServedPart = 0.9;
+  struct
+  {
+    int vms;
+    int services;
+    double rate;
+  } const cases[] = { { 9, 3, 300 }, { 60, 6, 600 }, { 300, 6, 600 } };
+  for (const auto &c : cases)
+    {
+      FleetOptions o;
+      o.vms = c.vms;
+      o.services = c.services;
+      o.connections_max = c.vms < 10 ? 40 : 88;
+      FleetWorld w (51, o);
+
+      for (auto &vm : w.vms)
+        w.Start (vm.get ());
+      w.Run (2000000);
+      w.Load (c.rate, 14000000);
+      w.Run (3000000);
+      int64_t before_us = w.now_us - 2000000;
+      EXPECT_GE (w.ServedFrom (before_us, kServedPart), 0) << c.vms;
+      for (auto &vm : w.vms)
+        w.LosePower (vm.get ());
+      uint64_t refused = w.refused_full;
+      w.Run (1400000);
+      int64_t back_us = w.now_us;
+      for (auto &vm : w.vms)
+        w.At ((int64_t)(w.random () % 300000),
+              [&w, &vm] { w.Start (vm.get ()); });
+      w.Run (11000000);
+      int64_t served_us = w.ServedFrom (back_us, kServedPart);
+      EXPECT_GE (served_us, 0) << c.vms;
+      EXPECT_LE (served_us - back_us, kServedWithinUs) << c.vms;
+      EXPECT_EQ (w.promotions, 0u) << c.vms;
+      // Homes wait for one another's connections, and nobody else connects.
+      EXPECT_LE (w.messages, 100u * w.instances.size ()) << c.vms;
+      EXPECT_LE (w.refused_full - refused, 20u * w.instances.size ()) << c.vms;
+      if (getenv ("FLEET_VERBOSE"))
+        g_print ("%d VMs: served after %" G_GINT64_FORMAT
+                 " us, messages %lu, refused %lu\n",
+                 c.vms, served_us - back_us, (unsigned long)w.messages,
+                 (unsigned long)(w.refused_full - refused));
+    }
+}
 } // namespace
--- /dev/null
+++ b/tests/unit/fleetworld.cc
@@ -0,0 +1,704 @@
+// Many session poolers on virtual time.
+#include "fleetworld.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace
+{
+const int64_t kBucketUs = 100000;
+
+template <typename P>
+FleetVm *
+VmOf (P *port)
+{
+  return reinterpret_cast<FleetPort<P> *> (port)->vm;
+}
+
+// An answer that outlives the call it came with.
+struct FleetEnd
+{
+  struct stm_end end;
+  std::string signature;
+  struct stm_status status;
+};
+
+std::shared_ptr<FleetEnd>
+Keep (const struct stm_end *end)
+{
+  auto kept = std::make_shared<FleetEnd> ();
+
+  kept->end = *end;
+  kept->signature = end->signature ? end->signature : "";
+  if (end->signature)
+    kept->end.signature = kept->signature.c_str ();
+  kept->end.text = nullptr;
+  kept->end.rows = nullptr;
+  kept->end.rows_len = 0;
+  if (end->status)
+    {
+      kept->status = *end->status;
+      kept->end.status = &kept->status;
+    }
+  return kept;
+}
+
+// Takes a slot of I for so long; the time it is done.
+int64_t
+TakeSlot (FleetWorld *w, FleetInstance *i, int64_t for_us)
+{
+  int64_t *slot = std::min_element (i->slots_us, i->slots_us + 2);
+
+  *slot = std::max (*slot, w->now_us) + for_us;
+  return *slot;
+}
+
+void
+GiveNext (FleetRelay *r)
+{
+  FleetVm *home = r->home;
+
+  if (r->busy || r->queue.empty () || !r->session)
+    return;
+  auto sent = r->queue.front ();
+  r->queue.pop_front ();
+  r->busy = true;
+  plr_relay_after (r->session, sent->after);
+  plr_statement (home->pooler, r->session, &sent->statement,
+                 home->world->now_us);
+}
+
+void
+OnAnswer (struct plr_port *port, void *data, const struct stm_end *end)
+{
+  FleetVm *vm = VmOf (port);
+  FleetWorld *w = vm->world;
+  FleetTag *tag = (FleetTag *)data;
+
+  if (tag->caller)
+    {
+      FleetCaller *c = tag->caller;
+
+      c->ok = end->ok;
+      c->ended_us = w->now_us;
+      w->At (vm, 0, [vm, c, w] {
+        if (c->session)
+          plr_close_session (vm->pooler, c->session, w->now_us);
+        c->session = nullptr;
+      });
+      return;
+    }
+  FleetRelay *r = tag->relay;
+  FleetLink *l = r->link;
+  auto kept = Keep (end);
+  r->busy = false;
+  w->At (vm, 0, [r] { GiveNext (r); });
+  w->At (l->vm, w->o.round_trip_us / 2, [l, kept, w] {
+    if (l->open)
+      plr_link_answer (l->vm->pooler, l->link, &kept->end, w->now_us);
+  });
+}
+
+void
+OnHangUp (struct plr_port *port, void *data)
+{
+  FleetVm *vm = VmOf (port);
+  FleetWorld *w = vm->world;
+  FleetTag *tag = (FleetTag *)data;
+  struct ses **session
+      = tag->caller ? &tag->caller->session : &tag->relay->session;
+  struct ses *s = *session;
+
+  *session = nullptr;
+  if (s)
+    plr_close_session (vm->pooler, s, w->now_us);
+  if (tag->caller)
+    return;
+  FleetLink *l = tag->relay->link;
+  w->At (l->vm, w->o.round_trip_us / 2, [l, w] {
+    if (l->open)
+      plr_link_lost (l->vm->pooler, l->link, false, w->now_us);
+  });
+}
+
+const struct plr_port_ops callers_ops = { OnAnswer, OnHangUp };
+
+void
+OpenDirectly (FleetLink *l)
+{
+  FleetWorld *w = l->vm->world;
+  FleetInstance *i = l->instance;
+  int64_t done_us;
+
+  if ((int64_t)i->model->n_connections + i->lingering
+      >= w->o.connections_max)
+    {
+      w->refused_full++;
+      w->At (l->vm, w->o.round_trip_us / 2, [l, w] {
+        if (l->open)
+          plr_link_refused (l->vm->pooler, l->link, SQC_CONNECTION_LIMIT,
+                            w->now_us);
+      });
+      return;
+    }
+  l->conn = dbm_connect (i->model);
+  done_us = TakeSlot (w, i, w->o.handshake_us);
+  w->At (l->vm, done_us - w->now_us + w->o.round_trip_us / 2, [l, w] {
+    if (l->open)
+      plr_link_opened (l->vm->pooler, l->link,
+                       dbm_applied (l->instance->model, w->now_us), w->now_us);
+  });
+}
+
+void
+OpenAtHome (FleetLink *l)
+{
+  FleetWorld *w = l->vm->world;
+  FleetVm *home = l->home;
+  auto relay = std::make_unique<FleetRelay> ();
+  auto tag = std::make_unique<FleetTag> ();
+
+  if (!home->up || !plr_knows_vms (home->pooler, w->now_us))
+    {
+      w->At (l->vm, w->o.round_trip_us / 2, [l, w] {
+        if (l->open)
+          plr_link_lost (l->vm->pooler, l->link, true, w->now_us);
+      });
+      return;
+    }
+  relay->home = home;
+  relay->link = l;
+  tag->caller = nullptr;
+  tag->relay = relay.get ();
+  relay->session = plr_open_relay (home->pooler, tag.get (),
+                                   l->link->instance->svc->name,
+                                   l->instance->model->id, w->now_us);
+  l->relay = relay.get ();
+  bool reached = relay->session != nullptr;
+  home->relays.push_back (std::move (relay));
+  home->tags.push_back (std::move (tag));
+  w->At (l->vm, w->o.round_trip_us / 2, [l, w, reached] {
+    if (!l->open)
+      return;
+    if (reached)
+      plr_link_opened (l->vm->pooler, l->link, LP_NONE, w->now_us);
+    else
+      plr_link_refused (l->vm->pooler, l->link, SQC_NO_DATABASE, w->now_us);
+  });
+}
+
+void *
+UpOpen (struct ul_port *port, struct ul *link,
+        const struct dir_instance *instance, const char *home)
+{
+  FleetVm *vm = VmOf (port);
+  FleetWorld *w = vm->world;
+  auto l = std::make_unique<FleetLink> ();
+  FleetLink *raw = l.get ();
+
+  l->vm = vm;
+  l->link = link;
+  for (auto &i : w->instances)
+    if (strcmp (i->model->id, instance->id) == 0)
+      l->instance = i.get ();
+  if (home)
+    l->home = w->vms[(size_t)atoi (home)].get ();
+  vm->links.push_back (std::move (l));
+  w->At (vm, w->o.round_trip_us, [raw] {
+    if (!raw->open)
+      return;
+    if (raw->home)
+      OpenAtHome (raw);
+    else
+      OpenDirectly (raw);
+  });
+  return raw;
+}
+
+void
+RunDirectly (FleetLink *l, const std::shared_ptr<FleetStatement> &sent)
+{
+  FleetWorld *w = l->vm->world;
+  struct stm_end end;
+  enum stm_kind kind = sent->statement.kind;
+  bool work = kind == STM_READ || kind == STM_WRITE || kind == STM_COMMIT;
+
+  if (!l->conn)
+    return;
+  int64_t done_us = work ? TakeSlot (w, l->instance, w->o.work_us) : w->now_us;
+  dbm_run (l->conn, sent->after, &sent->statement, &end, w->now_us);
+  done_us = std::max (done_us, l->last_us);
+  l->last_us = done_us;
+  auto kept = Keep (&end);
+  w->At (l->vm, done_us - w->now_us + w->o.round_trip_us / 2, [l, kept, w] {
+    if (l->open)
+      plr_link_answer (l->vm->pooler, l->link, &kept->end, w->now_us);
+  });
+}
+
+void
+UpSend (struct ul_port *port, void *handle, struct lp after,
+        const struct stm *statement)
+{
+  FleetVm *vm = VmOf (port);
+  FleetWorld *w = vm->world;
+  FleetLink *l = (FleetLink *)handle;
+  auto sent = std::make_shared<FleetStatement> ();
+
+  sent->statement = *statement;
+  sent->after = after;
+  sent->id = statement->id ? statement->id : "";
+  sent->name = statement->name ? statement->name : "";
+  sent->args = statement->args ? statement->args : "";
+  sent->statement.id = statement->id ? sent->id.c_str () : nullptr;
+  sent->statement.name = statement->name ? sent->name.c_str () : nullptr;
+  sent->statement.args = statement->args ? sent->args.c_str () : nullptr;
+  if (!l->home)
+    w->At (vm, w->o.round_trip_us / 2, [l, sent] { RunDirectly (l, sent); });
+  else
+    w->At (l->home, w->o.round_trip_us / 2, [l, sent] {
+      if (!l->relay)
+        return;
+      l->relay->queue.push_back (sent);
+      GiveNext (l->relay);
+    });
+}
+
+void
+UpClose (struct ul_port *port, void *handle)
+{
+  FleetVm *vm = VmOf (port);
+  FleetWorld *w = vm->world;
+  FleetLink *l = (FleetLink *)handle;
+
+  l->open = false;
+  if (l->conn)
+    dbm_disconnect (l->conn);
+  l->conn = nullptr;
+  if (!l->relay)
+    return;
+  FleetRelay *r = l->relay;
+  w->At (l->home, w->o.round_trip_us / 2, [r, w] {
+    struct ses *s = r->session;
+
+    r->session = nullptr;
+    if (s)
+      plr_close_session (r->home->pooler, s, w->now_us);
+  });
+}
+
+const struct ul_port_ops ups_ops = { UpOpen, UpSend, UpClose };
+
+void
+Claim (struct suc_port *port, const char *service, uint64_t, const char *)
+{
+  FleetVm *vm = VmOf (port);
+  FleetWorld *w = vm->world;
+  std::string name = service;
+
+  w->At (vm, 10000, [vm, w, name] {
+    uint64_t token = 1000 + ++w->order;
+
+    for (auto &other : w->vms)
+      if (other->up && other.get () != vm)
+        suc_note_claim (other->suc, name.c_str (), vm->name.c_str (), token,
+                        w->now_us);
+    suc_claimed (vm->suc, name.c_str (), token, true, w->now_us);
+  });
+}
+
+void
+Promote (struct suc_port *port, const char *service, const char *instance,
+         uint64_t token)
+{
+  FleetVm *vm = VmOf (port);
+  FleetWorld *w = vm->world;
+  std::string name = service, id = instance;
+
+  w->promotions++;
+  w->At (vm, 1000000, [vm, w, name, id, token] {
+    bool done = false;
+
+    for (struct dbm *g : w->groups)
+      if (dbm_find (g, id.c_str ()))
+        done = dbm_promote (g, id.c_str (), token, w->now_us);
+    suc_promoted (vm->suc, name.c_str (),
+                  done ? SUC_PROMOTED : SUC_PROMOTE_REFUSED, w->now_us);
+  });
+}
+
+void
+Ask (struct suc_port *port, const char *service, const char *instance,
+     GHashTable *judges)
+{
+  FleetVm *vm = VmOf (port);
+  FleetWorld *w = vm->world;
+  std::string name = service, id = instance;
+
+  for (auto &other : w->vms)
+    {
+      FleetVm *judge = other.get ();
+
+      if (judge == vm || !g_hash_table_contains (judges, judge->name.c_str ()))
+        continue;
+      w->messages++;
+      w->At (judge, w->o.round_trip_us / 2, [vm, judge, w, name, id] {
+        enum suc_vote vote = suc_vote_on (judge->suc, name.c_str (),
+                                          id.c_str (), w->now_us);
+
+        w->messages++;
+        w->At (vm, w->o.round_trip_us / 2, [vm, judge, w, name, id, vote] {
+          suc_voted (vm->suc, name.c_str (), id.c_str (), judge->name.c_str (),
+                     vote, w->now_us);
+        });
+      });
+    }
+}
+
+const struct suc_port_ops duty_ops = { Claim, Promote, Ask };
+
+void
+OnStarved (void *arg, const char *service, const char *instance,
+           const struct rly_homes *holders)
+{
+  FleetVm *vm = (FleetVm *)arg;
+  FleetWorld *w = vm->world;
+  std::string name = service, id = instance;
+
+  for (auto &other : w->vms)
+    {
+      FleetVm *to = other.get ();
+      bool asked = !holders;
+
+      holders = nullptr;
+  for (uint32_t k = 0; holders && k < holders->n; k++)
+        asked |= to->name == holders->vms[k]->name;
+      if (to == vm || !asked)
+        continue;
+      w->messages++;
+      w->At (to, w->o.round_trip_us / 2, [to, w, name, id] {
+        plr_yield (to->pooler, name.c_str (), id.c_str (), w->now_us);
+      });
+    }
+}
+
+void
+Tick (FleetVm *vm)
+{
+  FleetWorld *w = vm->world;
+
+  plr_tick (vm->pooler, w->now_us);
+  suc_tick (vm->suc, w->names, w->now_us);
+  w->At (vm, PLR_TICK_US, [vm] { Tick (vm); });
+}
+
+const char *
+DataCentre (int index)
+{
+  static const char *const names[] = { "a1", "a2", "b1", "b2", "c1", "c2" };
+
+  return names[index % 6];
+}
+
+void
+Configure (FleetVm *vm)
+{
+  FleetWorld *w = vm->world;
+  struct dir_config *c = dir_config_new (1);
+  static const struct
+  {
+    const char *prefix;
+    enum dir_reads reads;
+    int64_t max_age_us;
+  } kinds[] = { { "fresh", DIR_READS_FRESH, 0 },
+                { "bounded", DIR_READS_BOUNDED, 1500000 },
+                { "own", DIR_READS_OWN, 2500000 } };
+
+  for (int n = 0; n < w->o.services; n++)
+    {
+      struct dir_service *s = g_new0 (struct dir_service, 1);
+
+      s->name = g_strdup_printf ("s%d", n);
+      s->connections_max = w->o.connections_max;
+      dir_config_add_service (c, s);
+      for (const auto &k : kinds)
+        {
+          struct dir_route *r = g_new0 (struct dir_route, 1);
+
+          r->database = g_strdup_printf ("%s%d", k.prefix, n);
+          r->service = g_strdup_printf ("s%d", n);
+          r->reads = k.reads;
+          r->max_age_us = k.max_age_us;
+          r->timeout_us = 800000;
+          r->objective_us = 500000;
+          dir_config_add_route (c, r);
+        }
+    }
+  plr_configure (vm->pooler, c, w->now_us);
+}
+
+void
+ListInstances (FleetVm *vm)
+{
+  FleetWorld *w = vm->world;
+
+  for (size_t n = 0; n < w->instances.size (); n++)
+    {
+      struct dbm_instance *i = w->instances[n]->model;
+      struct dir_instance d = {};
+      std::string service = "s" + std::to_string (n / 3);
+
+      d.id = i->id;
+      d.service = (char *)service.c_str ();
+      d.host = (char *)"10.0.0.1";
+      d.port = (uint16_t)(5000 + n);
+      d.data_centre = (char *)DataCentre ((int)(n % 3) * 2);
+      d.slots = 2;
+      d.says_primary = i->primary;
+      plr_list_instance (vm->pooler, &d, w->now_us);
+    }
+}
+
+void
+ListVms (FleetVm *vm)
+{
+  FleetWorld *w = vm->world;
+
+  for (auto &other : w->vms)
+    plr_set_vm (vm->pooler, other->name.c_str (),
+                (std::to_string (other->index) + ":1").c_str (),
+                DataCentre (other->index), 0.12);
+}
+} // namespace
+
+FleetWorld::FleetWorld (uint64_t seed, const FleetOptions &options)
+    : o (options), random (seed)
+{
+  regions = g_hash_table_new (g_str_hash, g_str_equal);
+  for (int n = 0; n < 6; n++)
+    g_hash_table_insert (regions, (gpointer)DataCentre (n),
+                         (gpointer)(n < 2 ? "a" : n < 4 ? "b" : "c"));
+  names = g_hash_table_new (g_str_hash, g_str_equal);
+  for (int n = 0; n < o.services; n++)
+    {
+      struct dbm *g
+          = dbm_new (("i" + std::to_string (n)).c_str (), 3, nullptr, nullptr);
+
+      groups.push_back (g);
+      for (uint32_t k = 0; k < g->n; k++)
+        {
+          g->instances[k].connections_max = (uint32_t)o.connections_max;
+          g->instances[k].lag_us = 50000;
+          instances.push_back (std::make_unique<FleetInstance> ());
+          instances.back ()->model = &g->instances[k];
+        }
+    }
+  for (int n = 0; n < o.vms; n++)
+    {
+      auto vm = std::make_unique<FleetVm> ();
+
+      vm->world = this;
+      vm->index = n;
+      vm->name = "vm-" + std::to_string (n);
+      vm->callers_port = { { &callers_ops }, vm.get () };
+      vm->ups_port = { { &ups_ops }, vm.get () };
+      vm->duty_port = { { &duty_ops }, vm.get () };
+      vms.push_back (std::move (vm));
+      g_hash_table_add (names, (gpointer)vms.back ()->name.c_str ());
+    }
+}
+
+FleetWorld::~FleetWorld ()
+{
+  for (auto &vm : vms)
+    if (vm->up)
+      LosePower (vm.get ());
+  while (!events.empty ())
+    events.pop ();
+  for (struct dbm *g : groups)
+    dbm_free (g);
+  g_hash_table_destroy (regions);
+  g_hash_table_destroy (names);
+}
+
+void
+FleetWorld::At (int64_t delay_us, std::function<void ()> fn)
+{
+  events.push ({ now_us + delay_us, order++, std::move (fn) });
+}
+
+void
+FleetWorld::At (FleetVm *vm, int64_t delay_us, std::function<void ()> fn)
+{
+  uint64_t life = vm->life;
+
+  At (delay_us, [vm, life, fn = std::move (fn)] {
+    if (vm->up && vm->life == life)
+      fn ();
+  });
+}
+
+void
+FleetWorld::Run (int64_t for_us)
+{
+  int64_t end_us = now_us + for_us;
+
+  while (!events.empty () && events.top ().at_us <= end_us)
+    {
+      Event e = events.top ();
+
+      events.pop ();
+      now_us = std::max (now_us, e.at_us);
+      e.run ();
+    }
+  now_us = end_us;
+}
+
+void
+FleetWorld::Start (FleetVm *vm)
+{
+  struct plr_options po = {};
+  struct suc_options so = {};
+
+  vm->up = true;
+  vm->life++;
+  vm->counters = g_new0 (struct ctr_set, 1);
+  po.callers = &vm->callers_port.port;
+  po.upstreams = &vm->ups_port.port;
+  po.counters = vm->counters;
+  po.vm = vm->name.c_str ();
+  po.data_centre = DataCentre (vm->index);
+  po.regions = regions;
+  po.leave_us = 5000000;
+  vm->pooler = plr_new (&po);
+  so.pooler = vm->pooler;
+  so.port = &vm->duty_port.port;
+  so.counters = vm->counters;
+  so.vm = vm->name.c_str ();
+  vm->suc = suc_new (&so);
+  plr_on_starved (vm->pooler, OnStarved, vm);
+  if (o.lists_vms_first)
+    {
+      plr_await_vms (vm->pooler);
+      At (vm, o.vm_listing_us, [vm, this] {
+        ListVms (vm);
+        plr_vms_listed (vm->pooler, true, now_us);
+      });
+    }
+  else
+    At (vm, o.vm_listing_us, [vm] { ListVms (vm); });
+  Configure (vm);
+  ListInstances (vm);
+  Tick (vm);
+}
+
+void
+FleetWorld::LosePower (FleetVm *vm)
+{
+  vm->up = false;
+  // Its instances know nothing of it: what it held counts on for a while.
+  for (auto &l : vm->links)
+    if (l->conn)
+      {
+        FleetInstance *i = l->instance;
+
+        dbm_disconnect (l->conn);
+        l->conn = nullptr;
+        i->lingering++;
+        At (o.linger_us, [i] { i->lingering--; });
+      }
+  suc_free (vm->suc);
+  plr_free (vm->pooler);
+  g_free (vm->counters);
+  vm->pooler = nullptr;
+  vm->suc = nullptr;
+  // Links of others through it break.
+  for (auto &r : vm->relays)
+    {
+      FleetLink *l = r->link;
+
+      r->session = nullptr;
+      if (l->vm != vm && l->vm->up && l->open)
+        At (l->vm, o.round_trip_us, [l, this] {
+          if (l->open)
+            plr_link_lost (l->vm->pooler, l->link, false, now_us);
+        });
+    }
+}
+
+void
+FleetWorld::Call (const char *database, enum stm_kind kind,
+                  int64_t objective_us)
+{
+  FleetVm *vm = vms[random () % vms.size ()].get ();
+  auto c = std::make_unique<FleetCaller> ();
+  auto tag = std::make_unique<FleetTag> ();
+  FleetCaller *raw = c.get ();
+  struct stm s = {};
+  size_t bucket = (size_t)(now_us / kBucketUs);
+
+  if (sent.size () <= bucket)
+    {
+      sent.resize (bucket + 1);
+      in_time.resize (bucket + 1);
+    }
+  sent[bucket]++;
+  if (!vm->up)
+    return;
+  raw->vm = vm;
+  raw->sent_us = now_us;
+  tag->caller = raw;
+  tag->relay = nullptr;
+  raw->session
+      = plr_open_session (vm->pooler, tag.get (), database, now_us);
+  vm->callers.push_back (std::move (c));
+  vm->tags.push_back (std::move (tag));
+  s.kind = kind;
+  s.id = "q";
+  s.args = "a 1";
+  plr_statement (vm->pooler, raw->session, &s, now_us);
+  At (objective_us, [this, raw, bucket, objective_us] {
+    if (raw->ok && raw->ended_us - raw->sent_us <= objective_us)
+      in_time[bucket]++;
+  });
+}
+
+void
+FleetWorld::Load (double rate, int64_t for_us)
+{
+  std::exponential_distribution<> gap (rate / 1e6);
+  static const char *const kinds[] = { "fresh", "bounded", "own", "own" };
+
+  for (double t = gap (random); t < (double)for_us; t += gap (random))
+    {
+      std::string database = kinds[random () % 4]
+                             + std::to_string (random ()
+                                               % (uint64_t)o.services);
+      bool writes = database[0] != 'b' && random () % 8 == 0;
+
+      At ((int64_t)t, [this, database, writes] {
+        Call (database.c_str (), writes ? STM_WRITE : STM_READ, 500000);
+      });
+    }
+}
+
+int64_t
+FleetWorld::ServedFrom (int64_t from_us, double part) const
+{
+  const size_t window = 10;
+
+  for (size_t b = (size_t)(from_us / kBucketUs); b + window <= sent.size ();
+       b++)
+    {
+      uint64_t n = 0, good = 0;
+
+      for (size_t k = b; k < b + window; k++)
+        {
+          n += sent[k];
+          good += in_time[k];
+        }
+      if ((double)good >= part * (double)n)
+        return std::max ((int64_t)b * kBucketUs, from_us);
+    }
+  return -1;
+}
