A few proxies of a data centre read the store for the others

Cause: every proxy watched the store, so each change woke 295 of them, and the pause between two watches had grown to 3 s to pay less for that.

Change (core/feed.c): in a data centre of more than eight proxies the two strongest watch, with short waits, and send what is new to those that ask them, about once a second each. A feeder says how long ago it heard from the store; a proxy whose knowledge is half as old as a configuration may take, or whose feeders are silent, watches itself. Items come oldest first, so that a message that can't hold them all leaves no gap: before, 256 in any order were sent, and the rest never.

--- a/packages/core/gossip.c
+++ b/packages/core/gossip.c
@@ -6,8 +6,10 @@
 #include <string.h>
 
 #define VERSION 1
-/* version, kind, service, instance, vote, revision, items */
-#define FIELDS 7
+/* version, kind, service, instance, vote, revision, items, base, age.  The
+   last two came later and may be missing.  */
+#define FIELDS 9
+#define FIELDS_MIN 7
 #define ITEM_FIELDS 3
 
 static int
@@ -47,6 +49,8 @@
       pack_text (&pk, m->items[i].value);
       msgpack_pack_uint64 (&pk, m->items[i].revision);
     }
+  msgpack_pack_uint64 (&pk, m->base);
+  msgpack_pack_uint64 (&pk, m->age_ms);
 }
 
 static bool
@@ -114,7 +118,7 @@
   uint64_t kind;
   uint64_t vote;
 
-  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < FIELDS)
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < FIELDS_MIN)
     return false;
   f = o->via.array.ptr;
   if (!read_number (&f[0], &version) || version != VERSION
@@ -127,6 +131,12 @@
   out->vote = (uint32_t)MIN (vote, UINT32_MAX);
   if (out->kind <= GSP_YIELD && (!out->service || !out->instance))
     return false;
+  out->base = UINT64_MAX;
+  out->age_ms = GSP_AGE_UNKNOWN;
+  if (o->via.array.size >= FIELDS
+      && (!read_number (&f[7], &out->base)
+          || !read_number (&f[8], &out->age_ms)))
+    return false;
   return read_items (&f[6], out);
 }
 
--- a/packages/core/gossip.h
+++ b/packages/core/gossip.h
@@ -18,7 +18,7 @@
   GSP_VOTE,    /* VOTE on it */
   GSP_YIELD,   /* this proxy has no connection to INSTANCE, which is full */
   GSP_SINCE,   /* which directory items are newer than REVISION? */
-  GSP_ITEMS,
+  GSP_ITEMS,   /* those newer than BASE, all of them up to REVISION */
   GSP_KIND_END
 };
 
@@ -38,10 +38,15 @@
   char *instance;
   uint32_t vote;
   uint64_t revision;
+  uint64_t base;   /* of GSP_ITEMS; above REVISION: not complete */
+  uint64_t age_ms; /* since the sender heard from the store; GSP_AGE_UNKNOWN:
+                      it doesn't watch it at present */
   uint32_t n_items;
   struct gsp_item *items;
 };
 
+#define GSP_AGE_UNKNOWN UINT32_MAX
+
 /* Appends the encoded message to OUT.  */
 void gsp_encode (const struct gsp_message *m, GByteArray *out);
 /* False when DATA is no message of this protocol.  */
--- a/packages/core/items.c
+++ b/packages/core/items.c
@@ -5,6 +5,10 @@
 {
   GHashTable *items; /* key -> struct gsp_item *, the newest of each */
   uint64_t newest;   /* revision of any item */
+  uint64_t complete; /* all changes up to it were learned */
+  uint64_t covered;  /* all removals since then are known ... */
+  uint64_t gap_from; /* ... but those of items that came and went ... */
+  uint64_t gap_to;   /* ... between these */
   char *prefix;      /* of the listing under way */
   uint64_t listed_at;
   GHashTable *listed; /* its keys */
@@ -72,6 +76,25 @@
   return c->newest;
 }
 
+void
+itm_note_complete (struct itm_cache *c, uint64_t revision)
+{
+  c->complete = MAX (c->complete, revision);
+}
+
+uint64_t
+itm_complete_to (const struct itm_cache *c)
+{
+  return c->complete;
+}
+
+bool
+itm_covers (const struct itm_cache *c, uint64_t revision)
+{
+  return c->complete > 0 && revision >= c->covered
+         && !(revision > c->gap_from && revision < c->gap_to);
+}
+
 uint32_t
 itm_count (const struct itm_cache *c, const char *prefix)
 {
@@ -97,6 +120,20 @@
   return item && item->value;
 }
 
+void
+itm_note_relisting (struct itm_cache *c, uint64_t at_revision)
+{
+  if (c->complete == 0)
+    {
+      c->covered = at_revision;
+      return;
+    }
+  if (c->gap_to > 0 && c->gap_from != c->complete)
+    c->covered = c->gap_to;
+  c->gap_from = c->complete;
+  c->gap_to = at_revision;
+}
+
 void
 itm_begin_listing (struct itm_cache *c, const char *prefix,
                    uint64_t at_revision)
@@ -135,25 +172,63 @@
   g_hash_table_remove_all (c->listed);
 }
 
-void
-itm_collect (const struct itm_cache *c, uint64_t revision,
-             struct gsp_message *message)
+static gint
+compare_revisions (gconstpointer a, gconstpointer b)
 {
+  const struct gsp_item *x = *(struct gsp_item *const *)a;
+  const struct gsp_item *y = *(struct gsp_item *const *)b;
+
+  return x->revision < y->revision ? -1 : x->revision > y->revision;
+}
+
+/* The items newer than REVISION, oldest first, borrowed.  */
+static GPtrArray *
+newer_than (const struct itm_cache *c, uint64_t revision)
+{
+  GPtrArray *newer = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, c->items);
-  while (message->n_items < GSP_ITEMS_MAX
-         && g_hash_table_iter_next (&iter, NULL, &value))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct gsp_item *)value)->revision > revision)
+      g_ptr_array_add (newer, value);
+  g_ptr_array_sort (newer, compare_revisions);
+  return newer;
+}
+
+uint64_t
+itm_collect (const struct itm_cache *c, uint64_t revision,
+             struct gsp_message *message)
+{
+  GPtrArray *newer = newer_than (c, revision);
+  uint64_t complete = c->complete;
+  guint n = newer->len;
+
+  if (n > GSP_ITEMS_MAX)
+    {
+      const struct gsp_item *left_out
+          = g_ptr_array_index (newer, GSP_ITEMS_MAX);
+
+      /* Changes of one revision stay together.  */
+      for (n = GSP_ITEMS_MAX; n > 0; n--)
+        {
+          const struct gsp_item *last = g_ptr_array_index (newer, n - 1);
+
+          complete = last->revision;
+          if (last->revision < left_out->revision)
+            break;
+        }
+    }
+  for (guint i = 0; i < n; i++)
     {
-      const struct gsp_item *known = value;
-      struct gsp_item *copy = &message->items[message->n_items];
+      const struct gsp_item *known = g_ptr_array_index (newer, i);
+      struct gsp_item *copy = &message->items[message->n_items++];
 
-      if (known->revision <= revision)
-        continue;
       copy->key = g_strdup (known->key);
       copy->value = g_strdup (known->value);
       copy->revision = known->revision;
-      message->n_items++;
     }
+  g_ptr_array_free (newer, TRUE);
+  return complete;
 }
--- a/packages/core/items.h
+++ b/packages/core/items.h
@@ -17,11 +17,21 @@
 bool itm_learn (struct itm_cache *c, const struct gsp_item *item);
 /* The newest revision of any item, 0 = none.  */
 uint64_t itm_newest (const struct itm_cache *c);
+/* All changes up to REVISION were learned.  */
+void itm_note_complete (struct itm_cache *c, uint64_t revision);
+/* Up to where that is so, 0 = nowhere.  */
+uint64_t itm_complete_to (const struct itm_cache *c);
+/* True when all removals since REVISION are known, so that the items newer
+   than it bring one who knew all up to there up to date.  */
+bool itm_covers (const struct itm_cache *c, uint64_t revision);
 /* Items present whose keys begin with PREFIX.  */
 uint32_t itm_count (const struct itm_cache *c, const char *prefix);
 /* True when KEY is present.  */
 bool itm_has (const struct itm_cache *c, const char *key);
 
+/* All is about to be listed anew, by a store that stands at AT_REVISION; what
+   came and went since the last change that was learned stays unknown.  */
+void itm_note_relisting (struct itm_cache *c, uint64_t at_revision);
 /* A listing under PREFIX that began when the store stood at AT_REVISION; each
    key of it is noted, then it ends.  Items held under the prefix that are no
    newer and were not listed are removed: GONE is told of each.  */
@@ -30,8 +40,10 @@
 void itm_note_listed (struct itm_cache *c, const char *key);
 void itm_end_listing (struct itm_cache *c, itm_gone_fn *gone, void *arg);
 
-/* Adds the items newer than REVISION to MESSAGE, as many as it takes.  */
-void itm_collect (const struct itm_cache *c, uint64_t revision,
-                  struct gsp_message *message);
+/* Adds the items newer than REVISION to MESSAGE, oldest first, as many as it
+   takes.  Returns the revision up to which they are complete: that of the last
+   one when some are left out.  */
+uint64_t itm_collect (const struct itm_cache *c, uint64_t revision,
+                      struct gsp_message *message);
 
 #endif
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -129,6 +129,12 @@
   rly_remove (&p->vms, name);
 }
 
+const struct rly_table *
+plr_vms (const struct plr *p)
+{
+  return &p->vms;
+}
+
 struct ses *
 plr_open_session (struct plr *p, void *tag, const char *database,
                   int64_t now_us)
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -76,6 +76,8 @@
 void plr_await_vms (struct plr *p);
 void plr_vms_listed (struct plr *p, bool again, int64_t now_us);
 bool plr_knows_vms (struct plr *p, int64_t now_us);
+/* The proxies known.  */
+const struct rly_table *plr_vms (const struct plr *p);
 
 /* Connections.  */
 
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -8,6 +8,7 @@
   struct cluster_options o;
   struct suc_port port;
   struct suc *suc;
+  struct fed *feed;
   struct peers *peers;
   GHashTable *vms; /* name -> address, this proxy included */
   int64_t tick_us;
@@ -119,19 +120,61 @@
   send_to (c, from, NULL, &vote);
 }
 
+/* Sends VM the items newer than REVISION.  ADDRESS as for send_to.  */
 static void
-on_directory_asked (struct cluster *c, const char *from, uint64_t revision)
+send_items (struct cluster *c, const char *vm, const char *address,
+            uint64_t revision)
 {
   struct gsp_message items = { 0 };
 
   items.kind = GSP_ITEMS;
   items.items = g_new0 (struct gsp_item, GSP_ITEMS_MAX);
   c->o.sink.collect (c->o.sink.arg, revision, &items);
-  if (items.n_items > 0)
-    send_to (c, from, NULL, &items);
+  send_to (c, vm, address, &items);
   gsp_clear (&items);
 }
 
+static void
+on_directory_asked (struct cluster *c, const char *from, uint64_t revision,
+                    int64_t now_us)
+{
+  fed_note_question (c->feed, from, revision, now_us);
+  send_items (c, from, NULL, revision);
+}
+
+/* The proxy that asked is answered on the link that it opened.  */
+static void
+push_items (void *arg, const char *vm, uint64_t revision)
+{
+  send_items (arg, vm, NULL, revision);
+}
+
+static void
+on_items (struct cluster *c, const char *from, const struct gsp_message *m,
+          int64_t now_us)
+{
+  int64_t age_us
+      = m->age_ms < GSP_AGE_UNKNOWN ? (int64_t)m->age_ms * 1000 : -1;
+
+  c->o.sink.learn (c->o.sink.arg, m);
+  /* One that lacks something of it is no source until it has listed all.  */
+  if (m->base <= c->o.sink.complete_to (c->o.sink.arg))
+    fed_note_answer (c->feed, from, age_us, now_us);
+}
+
+static void
+ask_feeder (struct cluster *c, int64_t now_us)
+{
+  const char *vm = fed_next_question (c->feed, now_us);
+  struct gsp_message m = { 0 };
+
+  if (!vm)
+    return;
+  m.kind = GSP_SINCE;
+  m.revision = c->o.sink.complete_to (c->o.sink.arg);
+  ask_one (c, vm, &m);
+}
+
 static void
 on_message (void *arg, const char *from, const char *data, size_t len)
 {
@@ -160,11 +203,10 @@
       plr_yield (c->o.pooler, m.service, m.instance, now_us);
       break;
     case GSP_SINCE:
-      on_directory_asked (c, from, m.revision);
+      on_directory_asked (c, from, m.revision, now_us);
       break;
     case GSP_ITEMS:
-      for (uint32_t i = 0; i < m.n_items; i++)
-        c->o.sink.learn (c->o.sink.arg, &m.items[i]);
+      on_items (c, from, &m, now_us);
       break;
     case GSP_KIND_END:
       break;
@@ -188,6 +230,7 @@
   struct cluster *c = g_new0 (struct cluster, 1);
   struct suc_options so = { 0 };
   struct peers_options po = { 0 };
+  struct fed_options fo = { 0 };
 
   c->o = *options;
   c->port.ops = &suc_ops;
@@ -199,6 +242,11 @@
   so.vm = options->vm;
   c->suc = suc_new (&so);
   plr_on_starved (options->pooler, on_starved, c);
+  fo.vms = plr_vms (options->pooler);
+  fo.vm = options->vm;
+  fo.data_centre = options->data_centre;
+  fo.stale_us = options->stale_us;
+  c->feed = fed_new (&fo);
   po.loop = options->loop;
   po.sink = (struct peers_sink){ on_message, on_lost, c };
   po.vm = options->vm;
@@ -218,6 +266,7 @@
   if (c->peers)
     peers_free (c->peers);
   suc_free (c->suc);
+  fed_free (c->feed);
   g_hash_table_destroy (c->vms);
   g_free (c);
 }
@@ -228,6 +277,12 @@
   return c->suc;
 }
 
+struct fed *
+cluster_feed (struct cluster *c)
+{
+  return c->feed;
+}
+
 void
 cluster_set_vm (struct cluster *c, const struct cluster_vm *vm, int64_t now_us)
 {
@@ -274,5 +329,8 @@
     return;
   c->tick_us = now_us + SUC_TICK_US;
   peers_tick (c->peers, now_us);
+  ask_feeder (c, now_us);
+  fed_push (c->feed, c->o.sink.complete_to (c->o.sink.arg), push_items, c,
+            now_us);
   suc_tick (c->suc, c->vms, now_us);
 }
--- a/packages/proxy/cluster.h
+++ b/packages/proxy/cluster.h
@@ -3,6 +3,7 @@
 #ifndef CB_CLUSTER_H
 #define CB_CLUSTER_H
 
+#include "feed.h"
 #include "gossip.h"
 #include "peers.h"
 #include "succeed.h"
@@ -14,10 +15,12 @@
                  const char *instance);
   void (*promote) (void *arg, const char *service, const char *instance,
                    uint64_t token);
-  /* Adds what is newer than REVISION to MESSAGE.  */
+  /* Fills MESSAGE in with what is newer than REVISION.  */
   void (*collect) (void *arg, uint64_t revision, struct gsp_message *message);
-  /* An item that a peer knows.  */
-  void (*learn) (void *arg, const struct gsp_item *item);
+  /* Items that a peer knows.  */
+  void (*learn) (void *arg, const struct gsp_message *items);
+  /* Up to where all items are known.  */
+  uint64_t (*complete_to) (void *arg);
   void *arg;
 };
 
@@ -29,6 +32,8 @@
   struct ev_log *log;
   const char *vm;
   const char *listen; /* host:port for peers */
+  const char *data_centre;
+  int64_t stale_us; /* see struct fed_options */
   struct cluster_sink sink;
 };
 
@@ -52,6 +57,8 @@
 void cluster_set_vm (struct cluster *c, const struct cluster_vm *vm,
                      int64_t now_us);
 void cluster_remove_vm (struct cluster *c, const char *name, int64_t now_us);
+/* Who reads the store.  */
+struct fed *cluster_feed (struct cluster *c);
 /* Asks one peer for what is newer than REVISION in the directory.  */
 void cluster_ask_directory (struct cluster *c, uint64_t revision);
 /* Call after each turn of the loop.  */
