News follow on what is known, or are not taken

A feeder that lists anew doesn't know what came and went meanwhile; a proxy fed by another had seen it come, and never heard that it went. And items older than a proxy's own listing were taken when it had never held them.

--- a/packages/core/items.c
+++ b/packages/core/items.c
@@ -88,8 +88,10 @@
   return c->complete;
 }
 
-bool
-itm_covers (const struct itm_cache *c, uint64_t revision)
+/* True when all removals since REVISION are known, so that the items newer
+   than it bring one who knew all up to there up to date.  */
+static bool
+covers (const struct itm_cache *c, uint64_t revision)
 {
   return c->complete > 0 && revision >= c->covered
          && !(revision > c->gap_from && revision < c->gap_to);
@@ -197,9 +199,9 @@
   return newer;
 }
 
-uint64_t
-itm_collect (const struct itm_cache *c, uint64_t revision,
-             struct gsp_message *message)
+void
+itm_give_news (const struct itm_cache *c, uint64_t revision,
+               struct gsp_message *message)
 {
   GPtrArray *newer = newer_than (c, revision);
   uint64_t complete = c->complete;
@@ -230,5 +232,23 @@
       copy->revision = known->revision;
     }
   g_ptr_array_free (newer, TRUE);
-  return complete;
+  message->base = covers (c, revision) ? revision : UINT64_MAX;
+  message->revision = complete;
+}
+
+bool
+itm_take_news (struct itm_cache *c, const struct gsp_message *message,
+               itm_news_fn *news, void *arg)
+{
+  /* Nothing older than what is known: it may be gone since, unnoticed by a
+     listing that never held it.  */
+  if (message->revision <= c->complete)
+    return true;
+  if (message->base != c->complete)
+    return false;
+  for (uint32_t i = 0; i < message->n_items; i++)
+    if (itm_learn (c, &message->items[i]))
+      news (arg, &message->items[i]);
+  itm_note_complete (c, message->revision);
+  return true;
 }
--- a/packages/core/items.h
+++ b/packages/core/items.h
@@ -21,9 +21,6 @@
 void itm_note_complete (struct itm_cache *c, uint64_t revision);
 /* Up to where that is so, 0 = nowhere.  */
 uint64_t itm_complete_to (const struct itm_cache *c);
-/* True when all removals since REVISION are known, so that the items newer
-   than it bring one who knew all up to there up to date.  */
-bool itm_covers (const struct itm_cache *c, uint64_t revision);
 /* Items present whose keys begin with PREFIX.  */
 uint32_t itm_count (const struct itm_cache *c, const char *prefix);
 /* True when KEY is present.  */
@@ -40,10 +37,18 @@
 void itm_note_listed (struct itm_cache *c, const char *key);
 void itm_end_listing (struct itm_cache *c, itm_gone_fn *gone, void *arg);
 
-/* Adds the items newer than REVISION to MESSAGE, oldest first, as many as it
-   takes.  Returns the revision up to which they are complete: that of the last
-   one when some are left out.  */
-uint64_t itm_collect (const struct itm_cache *c, uint64_t revision,
-                      struct gsp_message *message);
+/* Fills MESSAGE in with the items newer than REVISION, oldest first, as many as
+   it takes, and says from where to where they are complete.  */
+void itm_give_news (const struct itm_cache *c, uint64_t revision,
+                    struct gsp_message *message);
+
+/* An item that was news.  */
+typedef void itm_news_fn (void *arg, const struct gsp_item *item);
+
+/* Takes what another proxy gave.  False when that doesn't follow on what is
+   known here: it may lack the removal of what this proxy learned since, and no
+   other news would ever tell of it.  */
+bool itm_take_news (struct itm_cache *c, const struct gsp_message *message,
+                    itm_news_fn *news, void *arg);
 
 #endif
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -156,9 +156,7 @@
   int64_t age_us
       = m->age_ms < GSP_AGE_UNKNOWN ? (int64_t)m->age_ms * 1000 : -1;
 
-  c->o.sink.learn (c->o.sink.arg, m);
-  /* One that lacks something of it is no source until it has listed all.  */
-  if (m->base <= c->o.sink.complete_to (c->o.sink.arg))
+  if (c->o.sink.learn (c->o.sink.arg, m))
     fed_note_answer (c->feed, from, age_us, now_us);
 }
 
--- a/packages/proxy/cluster.h
+++ b/packages/proxy/cluster.h
@@ -17,8 +17,9 @@
                    uint64_t token);
   /* Fills MESSAGE in with what is newer than REVISION.  */
   void (*collect) (void *arg, uint64_t revision, struct gsp_message *message);
-  /* Items that a peer knows.  */
-  void (*learn) (void *arg, const struct gsp_message *items);
+  /* Takes items that a peer knows; false when they don't follow on what is
+     known here.  */
+  bool (*learn) (void *arg, const struct gsp_message *items);
   /* Up to where all items are known.  */
   uint64_t (*complete_to) (void *arg);
   void *arg;
--- /dev/null
+++ b/tests/unit/feed_test.cc
@@ -0,0 +1,467 @@
+// Who reads the store, and that everybody stays current by it.
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+extern "C"
+{
+#include "feed.h"
+#include "items.h"
+}
+
+namespace
+{
+const int64_t kStaleUs = 3000000;
+const int64_t kStepUs = 20000;
+const int64_t kWatchUs = 1500000; // a watch returns by then, changed or not
+
+// A store with its history, proxies of one data centre, and the messages
+// between them, in steps of virtual time.
+struct FeedWorld
+{
+  struct Change
+  {
+    std::string key;
+    bool removed;
+  };
+  struct Message
+  {
+    int64_t due_us;
+    int from, to;
+    bool question;
+    struct gsp_message m;
+  };
+  struct Proxy
+  {
+    bool up = true;        // runs
+    bool cut_off = false;  // from the store
+    struct rly_table vms;
+    struct fed *feed = nullptr;
+    struct itm_cache *items = nullptr;
+    int64_t watched_us = 0;
+    uint64_t calls = 0, messages = 0;
+    uint64_t seen_revision = 0;
+  };
+  GHashTable *regions = g_hash_table_new (g_str_hash, g_str_equal);
+  std::vector<Change> history; // of revision index + 1
+  std::vector<std::unique_ptr<Proxy> > proxies;
+  std::vector<Message> queue;
+  std::mt19937_64 random;
+  double lose = 0; // messages lost
+  int64_t now_us = 1000000;
+
+  FeedWorld (int n, uint64_t seed) : random (seed)
+  {
+    Change ("op/config");
+    for (int i = 0; i < n; i++)
+      proxies.push_back (std::make_unique<Proxy> ());
+    for (int i = 0; i < n; i++)
+      Start (i);
+  }
+  ~FeedWorld ()
+  {
+    for (auto &p : proxies)
+      Stop (p.get ());
+    for (auto &m : queue)
+      gsp_clear (&m.m);
+    g_hash_table_destroy (regions);
+  }
+  static std::string Name (int i) { return "vm-" + std::to_string (i); }
+  void
+  Change (const std::string &key, bool removed = false)
+  {
+    history.push_back ({ key, removed });
+  }
+  void
+  Stop (Proxy *p)
+  {
+    if (!p->feed)
+      return;
+    fed_free (p->feed);
+    itm_free (p->items);
+    rly_free (&p->vms);
+    p->feed = nullptr;
+    p->up = false;
+  }
+  void
+  Start (int i)
+  {
+    Proxy *p = proxies[i].get ();
+    struct fed_options o = {};
+
+    p->up = true;
+    p->watched_us = 0;
+    rly_init (&p->vms, "own", regions);
+    for (size_t k = 0; k < proxies.size (); k++)
+      rly_set (&p->vms, Name ((int)k).c_str (), "10.0.0.1:1", "a",
+               k < 3 ? 0.5 : 0.12);
+    names.push_back (std::make_unique<std::string> (Name (i)));
+    o.vms = &p->vms;
+    o.vm = names.back ()->c_str ();
+    o.data_centre = "a";
+    o.stale_us = kStaleUs;
+    p->feed = fed_new (&o);
+    p->items = itm_new ();
+    List (p);
+  }
+  std::vector<std::unique_ptr<std::string> > names;
+  static void NoGone (void *, const char *) {}
+  static void NoNews (void *, const struct gsp_item *) {}
+  // Reads everything.
+  void
+  List (Proxy *p)
+  {
+    std::map<std::string, uint64_t> present;
+
+    p->calls += 3;
+    itm_note_relisting (p->items, history.size ());
+    itm_begin_listing (p->items, "", history.size ());
+    for (size_t r = 0; r < history.size (); r++)
+      if (history[r].removed)
+        present.erase (history[r].key);
+      else
+        present[history[r].key] = r + 1;
+    for (auto &k : present)
+      {
+        struct gsp_item item
+            = { (char *)k.first.c_str (), (char *)"x", k.second };
+
+        itm_note_listed (p->items, k.first.c_str ());
+        itm_learn (p->items, &item);
+      }
+    itm_end_listing (p->items, NoGone, nullptr);
+    itm_note_complete (p->items, history.size ());
+    p->watched_us = now_us;
+  }
+  // A watch that has waited long enough, or has something to tell.
+  void
+  Watch (Proxy *p)
+  {
+    uint64_t from = itm_complete_to (p->items);
+
+    if (p->cut_off
+        || (from == history.size () && now_us - p->watched_us < kWatchUs))
+      return;
+    p->calls++;
+    for (size_t r = from; r < history.size (); r++)
+      {
+        struct gsp_item item = { (char *)history[r].key.c_str (),
+                                 history[r].removed ? nullptr : (char *)"x",
+                                 r + 1 };
+
+        itm_learn (p->items, &item);
+      }
+    itm_note_complete (p->items, history.size ());
+    p->watched_us = now_us;
+  }
+  void
+  Send (int from, int to, bool question, struct gsp_message m)
+  {
+    proxies[from]->messages++;
+    if (std::uniform_real_distribution<> (0, 1) (random) < lose)
+      gsp_clear (&m);
+    else
+      queue.push_back ({ now_us + 2000, from, to, question, m });
+  }
+  void
+  SendItems (int from, int to, uint64_t revision)
+  {
+    Proxy *p = proxies[from].get ();
+    struct gsp_message m = {};
+
+    m.items = g_new0 (struct gsp_item, GSP_ITEMS_MAX);
+    itm_give_news (p->items, revision, &m);
+    m.age_ms = fed_is_feeder (p->feed) && p->watched_us > 0
+                   ? (uint64_t)(now_us - p->watched_us) / 1000
+                   : GSP_AGE_UNKNOWN;
+    Send (from, to, false, m);
+  }
+  struct Pusher
+  {
+    FeedWorld *w;
+    int from;
+  };
+  static void
+  Push (void *arg, const char *vm, uint64_t revision)
+  {
+    Pusher *p = (Pusher *)arg;
+
+    p->w->SendItems (p->from, atoi (vm + 3), revision);
+  }
+  void
+  Take (Message &m)
+  {
+    Proxy *p = proxies[m.to].get ();
+
+    if (!p->up)
+      return;
+    if (m.question)
+      {
+        fed_note_question (p->feed, Name (m.from).c_str (), m.m.revision,
+                           now_us);
+        SendItems (m.to, m.from, m.m.revision);
+        return;
+      }
+    if (!itm_take_news (p->items, &m.m, NoNews, nullptr))
+      return;
+    fed_note_answer (p->feed, Name (m.from).c_str (),
+                     m.m.age_ms < GSP_AGE_UNKNOWN ? (int64_t)m.m.age_ms * 1000
+                                                  : -1,
+                     now_us);
+  }
+  void
+  Step ()
+  {
+    std::vector<Message> due;
+
+    now_us += kStepUs;
+    due.swap (queue);
+    for (auto &m : due)
+      {
+        Take (m);
+        gsp_clear (&m.m);
+      }
+    for (size_t i = 0; i < proxies.size (); i++)
+      {
+        Proxy *p = proxies[i].get ();
+        Pusher pusher = { this, (int)i };
+        struct gsp_message m = {};
+        const char *feeder;
+
+        if (!p->up)
+          continue;
+        feeder = fed_next_question (p->feed, now_us);
+        m.revision = itm_complete_to (p->items);
+        if (feeder)
+          Send ((int)i, atoi (feeder + 3), true, m);
+        fed_push (p->feed, itm_complete_to (p->items), Push, &pusher, now_us);
+        if (!fed_is_fed (p->feed, now_us)
+            && now_us - p->watched_us > 300000)
+          Watch (p);
+      }
+  }
+  void
+  Run (int64_t for_us)
+  {
+    for (int64_t end_us = now_us + for_us; now_us < end_us;)
+      Step ();
+  }
+  bool
+  AllKnow (uint64_t revision)
+  {
+    for (auto &p : proxies)
+      if (p->up && itm_complete_to (p->items) < revision)
+        return false;
+    return true;
+  }
+  int
+  Feeders ()
+  {
+    int n = 0;
+
+    for (auto &p : proxies)
+      n += p->up && fed_is_feeder (p->feed) ? 1 : 0;
+    return n;
+  }
+  // Until everybody knows what was changed last; negative: not in time.
+  int64_t
+  UntilAllKnow (int64_t limit_us)
+  {
+    int64_t start_us = now_us;
+
+    while (!AllKnow (history.size ()))
+      {
+        if (now_us - start_us > limit_us)
+          return -1;
+        Step ();
+      }
+    return now_us - start_us;
+  }
+};
+
+// What one proxy costs the store and the others, by the size of the fleet.
+TEST (Feed, CallsFollowTheDataCentreNotTheFleet)
+{
+  struct
+  {
+    int proxies;
+    int feeders;
+    uint64_t calls_most;    // of all proxies in 10 quiet seconds
+    uint64_t messages_most; // of one that doesn't feed
+  } const cases[] = {
+    { 3, 3, 3 * 8, 0 },
+    { 10, 2, 2 * 8 + 10, 30 },
+    { 50, 2, 2 * 8 + 10, 30 },
+    { 100, 2, 2 * 8 + 10, 30 },
+    { 300, 2, 2 * 8 + 10, 30 },
+  };
+  for (const auto &c : cases)
+    {
+      FeedWorld w (c.proxies, 1);
+
+      EXPECT_EQ (w.Feeders (), c.feeders) << c.proxies;
+      w.Run (3000000);
+      for (auto &p : w.proxies)
+        p->calls = p->messages = 0;
+      w.Run (10000000);
+      uint64_t calls = 0;
+      for (auto &p : w.proxies)
+        {
+          calls += p->calls;
+          if (!fed_is_feeder (p->feed))
+            {
+              EXPECT_LE (p->messages, c.messages_most) << c.proxies;
+            }
+        }
+      EXPECT_LE (calls, c.calls_most) << c.proxies;
+      w.Change ("op/config");
+      EXPECT_GE (w.UntilAllKnow (300000), 0) << c.proxies;
+    }
+}
+
+// A change is known everywhere within half of what a configuration has, and a
+// little, whatever becomes of the feeders.
+TEST (Feed, AChangeReachesEverybodyInTime)
+{
+  const int64_t kInTimeUs = kStaleUs + 2000000;
+  struct
+  {
+    const char *what;
+    int lost_feeders;
+    bool dies; // or is cut off from the store
+    double lose;
+  } const cases[] = {
+    { "nothing wrong", 0, false, 0 },
+    { "one feeder dies", 1, true, 0 },
+    { "both feeders die", 2, true, 0 },
+    { "the store turns one feeder away", 1, false, 0 },
+    { "the store turns both feeders away", 2, false, 0 },
+    { "messages are lost", 0, false, 0.3 },
+    { "messages are lost and a feeder dies", 1, true, 0.3 },
+  };
+  for (const auto &c : cases)
+    for (uint64_t seed = 1; seed <= 10; seed++)
+      {
+        FeedWorld w (30, seed);
+        int lost = 0;
+
+        w.lose = c.lose;
+        w.Run (5000000 + (int64_t)(w.random () % 2000000));
+        std::vector<FeedWorld::Proxy *> gone;
+        for (auto &p : w.proxies)
+          if (lost < c.lost_feeders && fed_is_feeder (p->feed))
+            {
+              lost++;
+              gone.push_back (p.get ());
+              if (c.dies)
+                w.Stop (p.get ());
+              else
+                p->cut_off = true;
+            }
+        w.Run ((int64_t)(w.random () % 1000000));
+        w.Change ("op/config");
+        uint64_t changed = w.history.size ();
+        int64_t start_us = w.now_us;
+        bool all = false;
+        while (!all && w.now_us - start_us < kInTimeUs)
+          {
+            w.Step ();
+            all = true;
+            for (auto &p : w.proxies)
+              all &= !p->up || p->cut_off
+                     || itm_complete_to (p->items) >= changed;
+          }
+        EXPECT_TRUE (all) << c.what << ", seed " << seed;
+      }
+}
+
+// What was removed while a feeder was away doesn't come back through it.
+TEST (Feed, WhatIsGoneStaysGone)
+{
+  std::vector<uint64_t> seeds = { 309, 1546 }; // failed once
+
+  for (uint64_t seed = 1; seed <= 100; seed++)
+    seeds.push_back (seed);
+  for (uint64_t seed : seeds)
+    {
+      FeedWorld w (20, seed);
+
+      w.lose = 0.1;
+      for (int round = 0; round < 60; round++)
+        {
+          std::string key = "servers/" + std::to_string (w.random () % 5);
+          int i = (int)(w.random () % 4);
+          FeedWorld::Proxy *p = w.proxies[i].get ();
+
+          switch (w.random () % 5)
+            {
+            case 0:
+              w.Change (key);
+              break;
+            case 1:
+              w.Change (key, true);
+              break;
+            case 2: // a new process, which knows no removal of before
+              w.Stop (p);
+              w.Start (i);
+              break;
+            case 3: // the history was lost: all is listed again
+              w.List (p);
+              break;
+            case 4:
+              p->cut_off = !p->cut_off;
+              break;
+            }
+          w.Run ((int64_t)(w.random () % 300000));
+        }
+      for (auto &p : w.proxies)
+        p->cut_off = false;
+      w.lose = 0;
+      w.Run (6000000);
+      std::map<std::string, bool> present;
+      for (auto &c : w.history)
+        present[c.key] = !c.removed;
+      for (size_t n = 0; n < w.proxies.size (); n++)
+        for (auto &k : present)
+          EXPECT_EQ (itm_has (w.proxies[n]->items, k.first.c_str ()), k.second)
+              << k.first << " at " << n << ", seed " << seed;
+    }
+}
+
+// More than one message holds arrives in parts, none left out.
+TEST (Feed, ManyItemsComeInParts)
+{
+  struct itm_cache *from = itm_new ();
+  struct itm_cache *to = itm_new ();
+  const int kItems = 2 * GSP_ITEMS_MAX + 10;
+
+  itm_note_relisting (from, 1);
+  for (int n = 0; n < kItems; n++)
+    {
+      std::string key = "vm/" + std::to_string (n);
+      // Two of each revision, in no order of the keys.
+      struct gsp_item item = { (char *)key.c_str (), (char *)"x",
+                               (uint64_t)(2 + (n * 7 % kItems) / 2) };
+
+      itm_learn (from, &item);
+    }
+  itm_note_complete (from, 10000);
+  itm_note_complete (to, 1);
+  for (int part = 0; part < 4; part++)
+    {
+      struct gsp_message m = {};
+
+      m.items = g_new0 (struct gsp_item, GSP_ITEMS_MAX);
+      itm_give_news (from, itm_complete_to (to), &m);
+      EXPECT_TRUE (itm_take_news (to, &m, FeedWorld::NoNews, nullptr));
+      gsp_clear (&m);
+    }
+  EXPECT_EQ (itm_complete_to (to), 10000u);
+  EXPECT_EQ (itm_count (to, "vm/"), (uint32_t)kItems);
+  itm_free (from);
+  itm_free (to);
+}
+} // namespace
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -88,7 +88,7 @@
   EXPECT_FALSE (itm_learn (c, &old));
   struct gsp_message m = {};
   m.items = g_new0 (struct gsp_item, GSP_ITEMS_MAX);
-  itm_collect (c, 0, &m);
+  itm_give_news (c, 0, &m);
   for (uint32_t i = 0; i < m.n_items; i++)
     if (std::string (m.items[i].key) == "vm/b")
       {
