A claim made while the peers are asked is respected

The survey had this check, the question before it had not. The test fails without it (two claims, two promotions).

--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -76,7 +76,7 @@
   char *target;
   uint64_t claim;          /* revision it stands at, 0 = none */
   int64_t claim_us;        /* when that was learned */
-  uint64_t judged_claim;   /* where it stood when the verdict fell */
+  uint64_t judged_claim;   /* where it stood when the doubt arose */
   char *holder;            /* proxy that took the claim, NULL = unknown */
   int64_t holder_gone_us;  /* it isn't listed since then, 0 = it is */
   int64_t standing_due_us; /* no claim is taken in calm before */
@@ -365,7 +365,6 @@
 start_survey (struct suc_service *sv, const struct suc_evidence *e,
               int64_t now_us)
 {
-  sv->judged_claim = sv->claim;
   sv->planned = e->draining || !e->listed;
   sv->cause = cause_of (e);
   log_judgement (sv, "replace", now_us);
@@ -442,6 +441,7 @@
   if (verdict == SUC_KEEP || now_us < sv->not_before_us
       || !is_turn (sv, judges, now_us))
     return;
+  sv->judged_claim = sv->claim;
   if (verdict == SUC_REPLACE)
     {
       start_survey (sv, e, now_us);
@@ -457,10 +457,23 @@
                              judges);
 }
 
+/* True when another proxy has claimed since the doubt arose: it acts on the
+   same.  */
+static bool
+is_overtaken (const struct suc_service *sv)
+{
+  return sv->claim != sv->judged_claim && !holds_claim (sv);
+}
+
 static void
 on_asking (struct suc_service *sv, const struct suc_evidence *e,
            int64_t now_us)
 {
+  if (is_overtaken (sv))
+    {
+      calm_down (sv, PAUSE_US, now_us);
+      return;
+    }
   if (now_us - sv->since_us < VOTE_US && sv->votes.voted < sv->votes.proxies)
     return;
   if (suc_judge (e) == SUC_KEEP)
@@ -493,8 +506,7 @@
 {
   struct svc_instance *target;
 
-  /* Another proxy has claimed meanwhile, and acts on the same verdict.  */
-  if (sv->claim != sv->judged_claim && !holds_claim (sv))
+  if (is_overtaken (sv))
     {
       calm_down (sv, PAUSE_US, now_us);
       return;
--- a/tests/unit/succeed_test.cc
+++ b/tests/unit/succeed_test.cc
@@ -268,6 +268,40 @@
   EXPECT_TRUE (w.promoted.empty ());
 }
 
+TEST (Succession, AClaimMadeWhilePeersAreAskedIsRespected)
+{
+  // It was taken for the one to replace: a second promotion was ordered half a
+  // second after the first.
+  PoolWorld w (31);
+  Caller *x = w.Open ("fresh");
+  bool asked = false;
+
+  w.Ask (x, STM_WRITE, nullptr, "a 1");
+  w.Ask (w.Open ("bounded"), STM_READ, nullptr, "a");
+  w.Run (2000000);
+  // So that the answers of the peers are waited for.
+  for (const char *vm : { "vm-2", "vm-3", "vm-4", "vm-5", "vm-6" })
+    g_hash_table_add (w.vms, (gpointer)vm);
+  uint32_t in_calm = w.claims;
+  w.unresponsive["i-0"] = true;
+  for (int n = 0; n < 250; n++)
+    {
+      if (n % 5 == 0)
+        w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (20000);
+      if (!asked && w.asked > 0)
+        {
+          asked = true;
+          suc_note_claim (w.suc, "stock", "vm-2", 60, w.now_us);
+          w.Run (1000000);
+          break;
+        }
+    }
+  EXPECT_TRUE (asked);
+  EXPECT_EQ (w.claims, in_calm);
+  EXPECT_TRUE (w.promoted.empty ());
+}
+
 TEST (Succession, OneProxyHoldsEachClaimInCalm)
 {
   static const struct
