First reads wait for a proof rather than take the primary's slots

Cause: a proxy that has no proof of the primary yet sent aged reads to the primary, since nothing tells it which replica is young enough.

Change: such a read waits up to 0.1 s for the proof, a question that takes no slot, and then goes to any copy. A second test plays a primary whose replicas lag: its slots stay 0.97 busy or more while anything is refused, so what is refused there is beyond the slots.

--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -112,6 +112,8 @@
 
 /* poolwatch.c */
 
+/* Makes sure that a proof of the primary of S is being asked for.  */
+void plr_seek_proof (struct plr *p, struct svc *s, int64_t now_us);
 /* Drops the connections of I; ALL: also those in use.  */
 void plr_drop_links (struct plr *p, struct svc_instance *i, bool all,
                      int64_t now_us);
--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -8,6 +8,10 @@
 /* After so many copies that lacked the position the primary is asked for it;
    when that lacks it too, it was rolled back, and the lead alone counts.  */
 #define BEHIND_TRIES 2
+/* A read waits so long for a proof that lets a replica serve it, rather than
+   take a slot of the primary: a question and its answer by way of a home in
+   another region.  */
+#define PROOF_WAIT_US 100000
 /* A home that failed is not gone through for so long.  */
 #define FAILED_HOME_US 1500000
 
@@ -326,6 +330,16 @@
   return plc_has_other (s->work.svc, &need, s->link->instance, now_us);
 }
 
+/* True when S can go to a replica as soon as the primary is proved, which is
+   soon.  Many proxies that know nothing yet would else send their first reads
+   to the primary all at once.  */
+static bool
+awaits_proof (const struct ses *s, const struct plc_need *need, int64_t now_us)
+{
+  return need->prove && !needs_leader (s) && s->tries_behind <= BEHIND_TRIES
+         && now_us - s->arrived_us < PROOF_WAIT_US;
+}
+
 /* Opens another connection when those on the way won't do for all that
    wait.  */
 static void
@@ -359,6 +373,11 @@
   if (now_us < s->retry_us)
     return;
   need = plr_need_of (s);
+  if (awaits_proof (s, &need, now_us))
+    {
+      plr_seek_proof (p, svc, now_us);
+      return;
+    }
   if (need.leader && !svc->leader)
     plr_seek_leader (p, svc, now_us);
   choice = plc_choose (svc, &need, now_us);
--- a/packages/core/poolwatch.c
+++ b/packages/core/poolwatch.c
@@ -315,6 +315,15 @@
     ask_life (p, presumed, true, now_us);
 }
 
+void
+plr_seek_proof (struct plr *p, struct svc *s, int64_t now_us)
+{
+  if (!s->leader)
+    plr_seek_leader (p, s, now_us);
+  else if (begin_seek (s, now_us))
+    ask_life (p, s->leader, true, now_us);
+}
+
 void
 plr_seek_candidates (struct plr *p, struct svc *s, int64_t now_us)
 {
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -199,7 +199,6 @@
       w.Load (c.rate, 14000000);
       w.Run (3000000);
       int64_t before_us = w.now_us - 2000000;
-      EXPECT_GE (w.ServedFrom (before_us, kServedPart), 0) << c.vms;
       for (auto &vm : w.vms)
         w.LosePower (vm.get ());
       uint64_t refused = w.refused_full;
@@ -210,17 +209,77 @@
               [&w, &vm] { w.Start (vm.get ()); });
       w.Run (11000000);
       int64_t served_us = w.ServedFrom (back_us, kServedPart);
+      int64_t served_before_us = w.ServedFrom (before_us, kServedPart);
+      EXPECT_EQ (served_before_us, before_us) << c.vms;
       EXPECT_GE (served_us, 0) << c.vms;
       EXPECT_LE (served_us - back_us, kServedWithinUs) << c.vms;
       EXPECT_EQ (w.promotions, 0u) << c.vms;
       // Homes wait for one another's connections, and nobody else connects.
       EXPECT_LE (w.messages, 100u * w.instances.size ()) << c.vms;
       EXPECT_LE (w.refused_full - refused, 20u * w.instances.size ()) << c.vms;
-      if (getenv ("FLEET_VERBOSE"))
-        g_print ("%d VMs: served after %" G_GINT64_FORMAT
-                 " us, messages %lu, refused %lu\n",
-                 c.vms, served_us - back_us, (unsigned long)w.messages,
-                 (unsigned long)(w.refused_full - refused));
+    }
+}
+
+// Both replicas of one service lag beyond every allowed age, so that more falls
+// on its primary than it can serve.
+TEST (Fleet, APrimaryWhoseReplicasLagIsKeptBusy)
+{
+  for (int vms : { 9, 60, 300 })
+    {
+      FleetOptions o;
+      o.vms = vms;
+      o.services = 3;
+      o.connections_max = vms < 10 ? 40 : 88;
+      FleetWorld w (61, o);
+
+      for (auto &vm : w.vms)
+        w.Start (vm.get ());
+      w.Run (2000000);
+      w.Load (630, 16000000);
+      w.Run (3000000);
+      for (uint32_t k = 1; k < 3; k++)
+        w.groups[0]->instances[k].lag_us = 60000000;
+      w.Run (4000000);
+      FleetTally before = w.tallies[0];
+      int64_t worked_us = w.instances[0]->worked_us;
+      w.Run (8000000);
+      FleetTally t = w.tallies[0];
+      double busy = (double)(w.instances[0]->worked_us - worked_us) / 16e6;
+      // Nothing is refused while a slot is free, nor for another's load.
+      EXPECT_GE (busy, 0.97) << vms;
+      EXPECT_EQ (w.tallies[1].refused, 0u) << vms;
+      EXPECT_EQ (w.tallies[2].refused, 0u) << vms;
+      // What is taken is served in time.
+      EXPECT_LE ((double)(t.late - before.late),
+                 0.1 * (double)(t.in_time - before.in_time))
+          << vms;
+      EXPECT_GT (t.refused, before.refused) << vms;
+    }
+}
+
+// Callers come all at once to a fleet that has rested, where no proxy knows how
+// far any primary stands: the first reads of each fall on replicas too.
+TEST (Fleet, TheFirstSecondAfterARestIsServedInTime)
+{
+  const double kServedPart = 0.95;
+  const int64_t kTenthUs = 100000;
+
+  for (int vms : { 9, 60, 300 })
+    {
+      FleetOptions o;
+      o.vms = vms;
+      o.connections_max = vms < 10 ? 40 : 88;
+      FleetWorld w (71, o);
+
+      for (auto &vm : w.vms)
+        w.Start (vm.get ());
+      w.Run (13000000);
+      size_t first = (size_t)(w.now_us / kTenthUs);
+      w.Load (1260, 5000000);
+      w.Run (9000000);
+      for (size_t k = first; k < first + 10; k++)
+        EXPECT_GE ((double)w.in_time[k], kServedPart * (double)w.sent[k])
+            << vms << " VMs, tenth " << k - first;
     }
 }
 } // namespace
--- a/tests/unit/fleetworld.cc
+++ b/tests/unit/fleetworld.cc
@@ -50,9 +50,25 @@
   int64_t *slot = std::min_element (i->slots_us, i->slots_us + 2);
 
   *slot = std::max (*slot, w->now_us) + for_us;
+  i->worked_us += for_us;
   return *slot;
 }
 
+// How long a statement runs: callers' ids begin with the kind of database.
+int64_t
+WorkOf (const FleetWorld *w, const std::string &id)
+{
+  switch (id.empty () ? ' ' : id[0])
+    {
+    case 'b':
+      return w->o.bounded_us;
+    case 'o':
+      return w->o.own_us;
+    default:
+      return w->o.fresh_us;
+    }
+}
+
 void
 GiveNext (FleetRelay *r)
 {
@@ -225,7 +241,8 @@
 
   if (!l->conn)
     return;
-  int64_t done_us = work ? TakeSlot (w, l->instance, w->o.work_us) : w->now_us;
+  int64_t done_us = work ? TakeSlot (w, l->instance, WorkOf (w, sent->id))
+                          : w->now_us;
   dbm_run (l->conn, sent->after, &sent->statement, &end, w->now_us);
   done_us = std::max (done_us, l->last_us);
   l->last_us = done_us;
@@ -409,10 +426,11 @@
   {
     const char *prefix;
     enum dir_reads reads;
-    int64_t max_age_us;
-  } kinds[] = { { "fresh", DIR_READS_FRESH, 0 },
-                { "bounded", DIR_READS_BOUNDED, 1500000 },
-                { "own", DIR_READS_OWN, 2500000 } };
+    int64_t max_age_us, objective_us, timeout_us;
+    int32_t priority;
+  } kinds[] = { { "fresh", DIR_READS_FRESH, 0, 300000, 800000, 1 },
+                { "bounded", DIR_READS_BOUNDED, 1500000, 600000, 1500000, 2 },
+                { "own", DIR_READS_OWN, 2500000, 500000, 800000, 2 } };
 
   for (int n = 0; n < w->o.services; n++)
     {
@@ -429,8 +447,9 @@
           r->service = g_strdup_printf ("s%d", n);
           r->reads = k.reads;
           r->max_age_us = k.max_age_us;
-          r->timeout_us = 800000;
-          r->objective_us = 500000;
+          r->timeout_us = k.timeout_us;
+          r->objective_us = k.objective_us;
+          r->priority = k.priority;
           dir_config_add_route (c, r);
         }
     }
@@ -627,7 +646,7 @@
 }
 
 void
-FleetWorld::Call (const char *database, enum stm_kind kind,
+FleetWorld::Call (const char *database, int service, enum stm_kind kind,
                   int64_t objective_us)
 {
   FleetVm *vm = vms[random () % vms.size ()].get ();
@@ -636,30 +655,38 @@
   FleetCaller *raw = c.get ();
   struct stm s = {};
   size_t bucket = (size_t)(now_us / kBucketUs);
+  const int64_t longest_us = 3000000;
 
   if (sent.size () <= bucket)
     {
       sent.resize (bucket + 1);
       in_time.resize (bucket + 1);
     }
+  tallies.resize ((size_t)o.services);
   sent[bucket]++;
+  tallies[(size_t)service].sent++;
   if (!vm->up)
     return;
   raw->vm = vm;
   raw->sent_us = now_us;
   tag->caller = raw;
   tag->relay = nullptr;
-  raw->session
-      = plr_open_session (vm->pooler, tag.get (), database, now_us);
+  raw->session = plr_open_session (vm->pooler, tag.get (), database, now_us);
   vm->callers.push_back (std::move (c));
   vm->tags.push_back (std::move (tag));
   s.kind = kind;
-  s.id = "q";
+  s.id = database;
   s.args = "a 1";
   plr_statement (vm->pooler, raw->session, &s, now_us);
-  At (objective_us, [this, raw, bucket, objective_us] {
-    if (raw->ok && raw->ended_us - raw->sent_us <= objective_us)
+  At (longest_us, [this, raw, bucket, service, objective_us] {
+    FleetTally &t = tallies[(size_t)service];
+    bool early = raw->ended_us - raw->sent_us <= objective_us;
+
+    if (raw->ok && early)
       in_time[bucket]++;
+    t.in_time += raw->ok && early ? 1 : 0;
+    t.late += raw->ok && !early ? 1 : 0;
+    t.refused += raw->ok ? 0 : 1;
   });
 }
 
@@ -667,17 +694,31 @@
 FleetWorld::Load (double rate, int64_t for_us)
 {
   std::exponential_distribution<> gap (rate / 1e6);
-  static const char *const kinds[] = { "fresh", "bounded", "own", "own" };
+  // Shares, objectives and shares of writes as at a fair of shops.
+  static const struct
+  {
+    const char *prefix;
+    double share;
+    int64_t objective_us;
+    double writes;
+  } kinds[] = { { "fresh", 0.15, 300000, 0.2 },
+                { "bounded", 0.15, 600000, 0 },
+                { "own", 0.7, 500000, 0.12 } };
+  std::uniform_real_distribution<> part (0, 1);
 
   for (double t = gap (random); t < (double)for_us; t += gap (random))
     {
-      std::string database = kinds[random () % 4]
-                             + std::to_string (random ()
-                                               % (uint64_t)o.services);
-      bool writes = database[0] != 'b' && random () % 8 == 0;
-
-      At ((int64_t)t, [this, database, writes] {
-        Call (database.c_str (), writes ? STM_WRITE : STM_READ, 500000);
+      int service = (int)(random () % (uint64_t)o.services);
+      double which = part (random);
+      const auto &k = which < 0.15 ? kinds[0] : which < 0.3 ? kinds[1]
+                                                            : kinds[2];
+      std::string database = k.prefix + std::to_string (service);
+      bool writes = part (random) < k.writes;
+      int64_t objective_us = k.objective_us;
+
+      At ((int64_t)t, [this, database, service, writes, objective_us] {
+        Call (database.c_str (), service, writes ? STM_WRITE : STM_READ,
+              objective_us);
       });
     }
 }
--- a/tests/unit/fleetworld.h
+++ b/tests/unit/fleetworld.h
@@ -28,7 +28,8 @@
   int vms = 300;
   int services = 6;
   int connections_max = 88;
-  int64_t work_us = 12000;
+  // Of a statement on each kind of database.
+  int64_t fresh_us = 4500, bounded_us = 22000, own_us = 14000;
   int64_t handshake_us = 12000;
   int64_t linger_us = 3000000; // a lost connection counts for so long
   int64_t round_trip_us = 4000;
@@ -42,6 +43,7 @@
 {
   struct dbm_instance *model;
   int64_t slots_us[2] = { 0, 0 };
+  int64_t worked_us = 0; // of all slots
   int64_t lingering = 0;
 };
 
@@ -75,6 +77,12 @@
   std::deque<std::shared_ptr<FleetStatement> > queue;
 };
 
+// What callers of one service got.
+struct FleetTally
+{
+  uint64_t sent = 0, in_time = 0, late = 0, refused = 0;
+};
+
 // A caller with one statement.
 struct FleetCaller
 {
@@ -133,6 +141,7 @@
   uint64_t messages = 0;     // between proxies, for votes and connections
   uint64_t promotions = 0;
   std::vector<uint64_t> sent, in_time; // a tenth of a second each
+  std::vector<FleetTally> tallies;     // by service
 
   struct Event
   {
@@ -156,8 +165,9 @@
   void Start (FleetVm *vm);
   // Its process ends without a word; connections linger at instances.
   void LosePower (FleetVm *vm);
-  // A caller's lone statement at some proxy that is up.
-  void Call (const char *database, enum stm_kind kind, int64_t objective_us);
+  // A caller's lone statement at some proxy.
+  void Call (const char *database, int service, enum stm_kind kind,
+             int64_t objective_us);
   // Callers arrive, RATE a second, for so long from now on.
   void Load (double rate, int64_t for_us);
   // The first time from FROM_US on at which the share PART of the calls that
