--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,7 @@
 	build-address/tests/world-test
 	build-address/tests/platform-test
 	build-address/tests/pooler-test
+	build-address/tests/fleet-test
 	ASAN_OPTIONS=detect_leaks=0 build-address/tests/soak --seed 2 \
 	  --seconds 20 --base 30000 --dir build-address/soak \
 	  --program build-address/packages/proxy/cassiabayd
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -173,18 +173,30 @@
     EXPECT_TRUE (w.ups[n]->via_home) << "this proxy is no home";
 }
 
-// All proxies lose power and start again, before instances that still count
-// the connections of the former processes.
+// Proxies lose power and start again, before instances that still count the
+// connections of the former processes.
 TEST (Fleet, AFleetThatLostPowerServesAgain)
 {
   const int64_t kServedWithinUs = 8000000;
   const double kServedPart = 0.9;
   struct
   {
+    const char *what;
     int vms;
     int services;
     double rate;
-  } const cases[] = { { 9, 3, 300 }, { 60, 6, 600 }, { 300, 6, 600 } };
+    int every;        // one in so many is hit ...
+    int data_centre;  // ... or all of this one, from 0; -1: of any
+    int64_t apart_us; // one after the other, 0: at once
+  } const cases[] = {
+    { "all of 9", 9, 3, 300, 1, -1, 0 },
+    { "all of 60", 60, 6, 600, 1, -1, 0 },
+    { "all of 300", 300, 6, 600, 1, -1, 0 },
+    { "half of 300", 300, 6, 600, 2, -1, 0 },
+    { "100 of 300", 300, 6, 600, 3, -1, 0 },
+    { "a data centre of 300", 300, 6, 600, 1, 0, 0 },
+    { "all of 300 in turn", 300, 6, 600, 1, -1, 20000 },
+  };
   for (const auto &c : cases)
     {
       FleetOptions o;
@@ -196,27 +208,35 @@
       for (auto &vm : w.vms)
         w.Start (vm.get ());
       w.Run (2000000);
-      w.Load (c.rate, 14000000);
+      w.Load (c.rate, 20000000);
       w.Run (3000000);
       int64_t before_us = w.now_us - 2000000;
-      for (auto &vm : w.vms)
-        w.LosePower (vm.get ());
       uint64_t refused = w.refused_full;
-      w.Run (1400000);
-      int64_t back_us = w.now_us;
+      int64_t at_us = 0;
       for (auto &vm : w.vms)
-        w.At ((int64_t)(w.random () % 300000),
-              [&w, &vm] { w.Start (vm.get ()); });
+        {
+          FleetVm *victim = vm.get ();
+
+          if (vm->index % c.every != 0
+              || (c.data_centre >= 0 && vm->index % 6 != c.data_centre))
+            continue;
+          w.At (at_us, [&w, victim] { w.LosePower (victim); });
+          w.At (at_us + 1400000 + (int64_t)(w.random () % 300000),
+                [&w, victim] { w.Start (victim); });
+          at_us += c.apart_us;
+        }
+      w.Run (at_us + 1400000);
+      int64_t back_us = w.now_us;
       w.Run (11000000);
       int64_t served_us = w.ServedFrom (back_us, kServedPart);
-      int64_t served_before_us = w.ServedFrom (before_us, kServedPart);
-      EXPECT_EQ (served_before_us, before_us) << c.vms;
-      EXPECT_GE (served_us, 0) << c.vms;
-      EXPECT_LE (served_us - back_us, kServedWithinUs) << c.vms;
-      EXPECT_EQ (w.promotions, 0u) << c.vms;
+      EXPECT_EQ (w.ServedFrom (before_us, kServedPart), before_us) << c.what;
+      EXPECT_GE (served_us, 0) << c.what;
+      EXPECT_LE (served_us - back_us, kServedWithinUs) << c.what;
+      EXPECT_EQ (w.promotions, 0u) << c.what;
       // Homes wait for one another's connections, and nobody else connects.
-      EXPECT_LE (w.messages, 100u * w.instances.size ()) << c.vms;
-      EXPECT_LE (w.refused_full - refused, 20u * w.instances.size ()) << c.vms;
+      EXPECT_LE (w.messages, 100u * w.instances.size ()) << c.what;
+      EXPECT_LE (w.refused_full - refused, 20u * w.instances.size ())
+          << c.what;
     }
 }
 
