--- a/packages/core/feed.c
+++ b/packages/core/feed.c
@@ -44,8 +44,7 @@
 
   f->o = *options;
   f->feeds = f->alone = true;
-  f->takers
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  f->takers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return f;
 }
 
@@ -153,10 +152,8 @@
 }
 
 void
-fed_note_answer (struct fed *f, const char *feeder, int64_t age_us,
-                 int64_t now_us)
+fed_note_answer (struct fed *f, int64_t age_us, int64_t now_us)
 {
-  (void)feeder;
   if (age_us < 0 || age_us >= f->o.stale_us)
     return;
   f->heard_us = now_us;
--- a/packages/core/feed.h
+++ b/packages/core/feed.h
@@ -5,8 +5,8 @@
    it is.
 
    A feeder says how long ago it last heard from the store; with the time since
-   that was received, it bounds how old the fed proxy's knowledge is.  No clocks
-   are compared.  */
+   that was received, it bounds how old the fed proxy's knowledge is.  No
+   clocks are compared.  */
 #ifndef CB_FEED_H
 #define CB_FEED_H
 
@@ -40,10 +40,9 @@
 bool fed_is_fed (struct fed *f, int64_t now_us);
 /* The feeder to ask for news now, NULL when none is due.  Borrowed.  */
 const char *fed_next_question (struct fed *f, int64_t now_us);
-/* FEEDER answered: it heard from the store AGE_US ago; negative: it is no
+/* A feeder answered: it heard from the store AGE_US ago; negative: it is no
    source at present.  */
-void fed_note_answer (struct fed *f, const char *feeder, int64_t age_us,
-                      int64_t now_us);
+void fed_note_answer (struct fed *f, int64_t age_us, int64_t now_us);
 
 /* VM asked for news and knows everything up to REVISION.  It is sent further
    news until it has not asked for a while.  */
--- a/packages/core/items.h
+++ b/packages/core/items.h
@@ -37,8 +37,8 @@
 void itm_note_listed (struct itm_cache *c, const char *key);
 void itm_end_listing (struct itm_cache *c, itm_gone_fn *gone, void *arg);
 
-/* Fills MESSAGE in with the items newer than REVISION, oldest first, as many as
-   it takes, and says from where to where they are complete.  */
+/* Fills MESSAGE in with the items newer than REVISION, oldest first, as many
+   as it takes, and says from where to where they are complete.  */
 void itm_give_news (const struct itm_cache *c, uint64_t revision,
                     struct gsp_message *message);
 
--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -395,7 +395,8 @@
 
 /* True when this proxy is to take the claim though nothing is wrong.  */
 static bool
-is_claim_free (const struct suc_service *sv, GHashTable *judges, int64_t now_us)
+is_claim_free (const struct suc_service *sv, GHashTable *judges,
+               int64_t now_us)
 {
   bool gone = sv->holder_gone_us > 0
               && now_us - sv->holder_gone_us >= HOLDER_GONE_US;
@@ -415,8 +416,8 @@
 }
 
 static void
-on_calm (struct suc_service *sv, const struct suc_evidence *e, GHashTable *judges,
-         int64_t now_us)
+on_calm (struct suc_service *sv, const struct suc_evidence *e,
+         GHashTable *judges, int64_t now_us)
 {
   enum suc_verdict verdict = suc_judge (e);
 
--- a/packages/core/svc.h
+++ b/packages/core/svc.h
@@ -84,13 +84,13 @@
   int64_t leaderless_us;       /* since then; 0 while a leader is known */
   struct svc_sample samples[SVC_SAMPLES]; /* oldest first */
   uint32_t n_samples;
-  GQueue waiting;      /* struct ses *, by rank and arrival */
-  GHashTable *judges;  /* names, see plr_judges; NULL: all proxies */
+  GQueue waiting;             /* struct ses *, by rank and arrival */
+  GHashTable *judges;         /* names, see plr_judges; NULL: all proxies */
   uint64_t judges_generation; /* of the proxies, when they were chosen */
-  int64_t wanted_us;   /* last time a session used it */
-  int64_t probed_us;   /* last question for the lead */
-  int64_t pressure_us; /* waiting was logged then */
-  int64_t leave_us;    /* an instance that leaves may lead on for so long */
+  int64_t wanted_us;          /* last time a session used it */
+  int64_t probed_us;          /* last question for the lead */
+  int64_t pressure_us;        /* waiting was logged then */
+  int64_t leave_us; /* an instance that leaves may lead on for so long */
 };
 
 struct svc *svc_new (const char *name);
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -150,14 +150,13 @@
 }
 
 static void
-on_items (struct cluster *c, const char *from, const struct gsp_message *m,
-          int64_t now_us)
+on_items (struct cluster *c, const struct gsp_message *m, int64_t now_us)
 {
   int64_t age_us
       = m->age_ms < GSP_AGE_UNKNOWN ? (int64_t)m->age_ms * 1000 : -1;
 
   if (c->o.sink.learn (c->o.sink.arg, m))
-    fed_note_answer (c->feed, from, age_us, now_us);
+    fed_note_answer (c->feed, age_us, now_us);
 }
 
 static void
@@ -204,7 +203,7 @@
       on_directory_asked (c, from, m.revision, now_us);
       break;
     case GSP_ITEMS:
-      on_items (c, from, &m, now_us);
+      on_items (c, &m, now_us);
       break;
     case GSP_KIND_END:
       break;
--- a/tests/unit/feed_test.cc
+++ b/tests/unit/feed_test.cc
@@ -36,8 +36,8 @@
   };
   struct Proxy
   {
-    bool up = true;        // runs
-    bool cut_off = false;  // from the store
+    bool up = true;       // runs
+    bool cut_off = false; // from the store
     struct rly_table vms;
     struct fed *feed = nullptr;
     struct itm_cache *items = nullptr;
@@ -69,7 +69,11 @@
       gsp_clear (&m.m);
     g_hash_table_destroy (regions);
   }
-  static std::string Name (int i) { return "vm-" + std::to_string (i); }
+  static std::string
+  Name (int i)
+  {
+    return "vm-" + std::to_string (i);
+  }
   void
   Change (const std::string &key, bool removed = false)
   {
@@ -108,8 +112,14 @@
     List (p);
   }
   std::vector<std::unique_ptr<std::string> > names;
-  static void NoGone (void *, const char *) {}
-  static void NoNews (void *, const struct gsp_item *) {}
+  static void
+  NoGone (void *, const char *)
+  {
+  }
+  static void
+  NoNews (void *, const struct gsp_item *)
+  {
+  }
   // Reads everything.
   void
   List (Proxy *p)
@@ -148,9 +158,9 @@
     p->calls++;
     for (size_t r = from; r < history.size (); r++)
       {
-        struct gsp_item item = { (char *)history[r].key.c_str (),
-                                 history[r].removed ? nullptr : (char *)"x",
-                                 r + 1 };
+        struct gsp_item item
+            = { (char *)history[r].key.c_str (),
+                history[r].removed ? nullptr : (char *)"x", r + 1 };
 
         itm_learn (p->items, &item);
       }
@@ -207,7 +217,7 @@
       }
     if (!itm_take_news (p->items, &m.m, NoNews, nullptr))
       return;
-    fed_note_answer (p->feed, Name (m.from).c_str (),
+    fed_note_answer (p->feed,
                      m.m.age_ms < GSP_AGE_UNKNOWN ? (int64_t)m.m.age_ms * 1000
                                                   : -1,
                      now_us);
@@ -238,8 +248,7 @@
         if (feeder)
           Send ((int)i, atoi (feeder + 3), true, m);
         fed_push (p->feed, itm_complete_to (p->items), Push, &pusher, now_us);
-        if (!fed_is_fed (p->feed, now_us)
-            && now_us - p->watched_us > 300000)
+        if (!fed_is_fed (p->feed, now_us) && now_us - p->watched_us > 300000)
           Watch (p);
       }
   }
@@ -292,10 +301,8 @@
     uint64_t calls_most;    // of all proxies in 10 quiet seconds
     uint64_t messages_most; // of one that doesn't feed
   } const cases[] = {
-    { 3, 3, 3 * 8, 0 },
-    { 10, 2, 2 * 8 + 10, 30 },
-    { 50, 2, 2 * 8 + 10, 30 },
-    { 100, 2, 2 * 8 + 10, 30 },
+    { 3, 3, 3 * 8, 0 },         { 10, 2, 2 * 8 + 10, 30 },
+    { 50, 2, 2 * 8 + 10, 30 },  { 100, 2, 2 * 8 + 10, 30 },
     { 300, 2, 2 * 8 + 10, 30 },
   };
   for (const auto &c : cases)
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -240,8 +240,8 @@
     }
 }
 
-// Both replicas of one service lag beyond every allowed age, so that more falls
-// on its primary than it can serve.
+// Both replicas of one service lag beyond every allowed age, so that more
+// falls on its primary than it can serve.
 TEST (Fleet, APrimaryWhoseReplicasLagIsKeptBusy)
 {
   for (int vms : { 9, 60, 300 })
@@ -277,8 +277,8 @@
     }
 }
 
-// Callers come all at once to a fleet that has rested, where no proxy knows how
-// far any primary stands: the first reads of each fall on replicas too.
+// Callers come all at once to a fleet that has rested, where no proxy knows
+// how far any primary stands: the first reads of each fall on replicas too.
 TEST (Fleet, TheFirstSecondAfterARestIsServedInTime)
 {
   const double kServedPart = 0.95;
--- a/tests/unit/fleetworld.cc
+++ b/tests/unit/fleetworld.cc
@@ -146,8 +146,7 @@
   FleetInstance *i = l->instance;
   int64_t done_us;
 
-  if ((int64_t)i->model->n_connections + i->lingering
-      >= w->o.connections_max)
+  if ((int64_t)i->model->n_connections + i->lingering >= w->o.connections_max)
     {
       w->refused_full++;
       w->At (l->vm, w->o.round_trip_us / 2, [l, w] {
@@ -186,9 +185,9 @@
   relay->link = l;
   tag->caller = nullptr;
   tag->relay = relay.get ();
-  relay->session = plr_open_relay (home->pooler, tag.get (),
-                                   l->link->instance->svc->name,
-                                   l->instance->model->id, w->now_us);
+  relay->session
+      = plr_open_relay (home->pooler, tag.get (), l->link->instance->svc->name,
+                        l->instance->model->id, w->now_us);
   l->relay = relay.get ();
   bool reached = relay->session != nullptr;
   home->relays.push_back (std::move (relay));
@@ -241,8 +240,8 @@
 
   if (!l->conn)
     return;
-  int64_t done_us = work ? TakeSlot (w, l->instance, WorkOf (w, sent->id))
-                          : w->now_us;
+  int64_t done_us
+      = work ? TakeSlot (w, l->instance, WorkOf (w, sent->id)) : w->now_us;
   dbm_run (l->conn, sent->after, &sent->statement, &end, w->now_us);
   done_us = std::max (done_us, l->last_us);
   l->last_us = done_us;
@@ -360,8 +359,8 @@
         continue;
       w->messages++;
       w->At (judge, w->o.round_trip_us / 2, [vm, judge, w, name, id] {
-        enum suc_vote vote = suc_vote_on (judge->suc, name.c_str (),
-                                          id.c_str (), w->now_us);
+        enum suc_vote vote
+            = suc_vote_on (judge->suc, name.c_str (), id.c_str (), w->now_us);
 
         w->messages++;
         w->At (vm, w->o.round_trip_us / 2, [vm, judge, w, name, id, vote] {
@@ -388,7 +387,7 @@
       bool asked = !holders;
 
       holders = nullptr;
-  for (uint32_t k = 0; holders && k < holders->n; k++)
+      for (uint32_t k = 0; holders && k < holders->n; k++)
         asked |= to->name == holders->vms[k]->name;
       if (to == vm || !asked)
         continue;
@@ -496,7 +495,9 @@
   regions = g_hash_table_new (g_str_hash, g_str_equal);
   for (int n = 0; n < 6; n++)
     g_hash_table_insert (regions, (gpointer)DataCentre (n),
-                         (gpointer)(n < 2 ? "a" : n < 4 ? "b" : "c"));
+                         (gpointer)(n < 2   ? "a"
+                                    : n < 4 ? "b"
+                                            : "c"));
   names = g_hash_table_new (g_str_hash, g_str_equal);
   for (int n = 0; n < o.services; n++)
     {
@@ -710,8 +711,9 @@
     {
       int service = (int)(random () % (uint64_t)o.services);
       double which = part (random);
-      const auto &k = which < 0.15 ? kinds[0] : which < 0.3 ? kinds[1]
-                                                            : kinds[2];
+      const auto &k = which < 0.15  ? kinds[0]
+                      : which < 0.3 ? kinds[1]
+                                    : kinds[2];
       std::string database = k.prefix + std::to_string (service);
       bool writes = part (random) < k.writes;
       int64_t objective_us = k.objective_us;
