A claim taken in calm delays nobody

Change: a claim says whether it is to act by (it names the instance) or taken in calm; only the former is waited for. The test fails without it. Ruled out: the rank of the judges (0.1 s each, at most 0.6 s).

--- a/packages/core/succeed.c
+++ b/packages/core/succeed.c
@@ -75,7 +75,7 @@
   char *primary; /* id of the last one proved or listed */
   char *target;
   uint64_t claim;          /* revision it stands at, 0 = none */
-  int64_t claim_us;        /* when that was learned */
+  int64_t claim_us;        /* when one to act by was last learned of */
   uint64_t judged_claim;   /* where it stood when the doubt arose */
   char *holder;            /* proxy that took the claim, NULL = unknown */
   int64_t holder_gone_us;  /* it isn't listed since then, 0 = it is */
@@ -345,7 +345,8 @@
   uint32_t rank
       = holds_claim (sv) ? 0 : 1 + rank_of (sv->suc, sv->svc->name, judges);
 
-  if (sv->claim > 0 && !holds_claim (sv) && now_us - sv->claim_us < OTHERS_US)
+  if (sv->claim_us > 0 && !holds_claim (sv)
+      && now_us - sv->claim_us < OTHERS_US)
     return false;
   if (sv->ready_us == 0)
     sv->ready_us = now_us;
@@ -650,20 +651,33 @@
 /* Events.  */
 
 void
-suc_note_claim (struct suc *s, const char *service, const char *vm,
-                uint64_t revision, int64_t now_us)
+suc_note_claim (struct suc *s, const struct suc_claim *claim, int64_t now_us)
 {
-  struct suc_service *sv = service_of (s, service);
+  struct suc_service *sv = service_of (s, claim->service);
 
-  if (revision <= sv->claim)
+  if (claim->revision <= sv->claim)
     return;
-  sv->claim = revision;
-  sv->claim_us = now_us;
+  if (claim->acts)
+    sv->claim_us = now_us;
+  /* One taken in calm says nothing of a primary that is in doubt here.  */
+  else if (sv->judged_claim == sv->claim)
+    sv->judged_claim = claim->revision;
+  sv->claim = claim->revision;
   g_free (sv->holder);
-  sv->holder = g_strdup (vm);
+  sv->holder = g_strdup (claim->vm);
   sv->holder_gone_us = 0;
 }
 
+/* This proxy won the claim.  */
+static void
+note_own_claim (struct suc_service *sv, uint64_t token, bool acts,
+                int64_t now_us)
+{
+  struct suc_claim claim = { sv->svc->name, sv->suc->o.vm, token, acts };
+
+  suc_note_claim (sv->suc, &claim, now_us);
+}
+
 void
 suc_claimed (struct suc *s, const char *service, uint64_t token, bool settled,
              int64_t now_us)
@@ -678,7 +692,7 @@
   if (sv->state == CLAIMING_IN_CALM)
     {
       if (token > 0)
-        suc_note_claim (s, service, s->o.vm, token, now_us);
+        note_own_claim (sv, token, false, now_us);
       enter (sv, CALM, now_us);
       return;
     }
@@ -687,7 +701,7 @@
   if (token > 0)
     {
       ctr_add (s->o.counters, CTR_CLAIMS, 1);
-      suc_note_claim (s, service, s->o.vm, token, now_us);
+      note_own_claim (sv, token, true, now_us);
       act (sv, token, now_us);
     }
   else if (!settled && holds_claim (sv))
--- a/packages/core/succeed.h
+++ b/packages/core/succeed.h
@@ -90,8 +90,16 @@
 #define SUC_TICK_US 40000
 void suc_tick (struct suc *s, GHashTable *vms, int64_t now_us);
 /* The claim on SERVICE stands at REVISION, taken by VM.  */
-void suc_note_claim (struct suc *s, const char *service, const char *vm,
-                     uint64_t revision, int64_t now_us);
+struct suc_claim
+{
+  const char *service;
+  const char *vm;
+  uint64_t revision;
+  bool acts; /* to promote at once; else taken in calm */
+};
+
+void suc_note_claim (struct suc *s, const struct suc_claim *claim,
+                     int64_t now_us);
 /* TOKEN is 0 when the claim was not won; SETTLED: the store did answer.  */
 void suc_claimed (struct suc *s, const char *service, uint64_t token,
                   bool settled, int64_t now_us);
--- a/tests/unit/fleetworld.cc
+++ b/tests/unit/fleetworld.cc
@@ -306,19 +306,22 @@
 const struct ul_port_ops ups_ops = { UpOpen, UpSend, UpClose };
 
 void
-Claim (struct suc_port *port, const char *service, uint64_t, const char *)
+Claim (struct suc_port *port, const char *service, uint64_t,
+       const char *instance)
 {
   FleetVm *vm = VmOf (port);
   FleetWorld *w = vm->world;
   std::string name = service;
 
-  w->At (vm, 10000, [vm, w, name] {
+  bool acts = instance[0] != '\0';
+
+  w->At (vm, 10000, [vm, w, name, acts] {
     uint64_t token = 1000 + ++w->order;
+    struct suc_claim claim = { name.c_str (), vm->name.c_str (), token, acts };
 
     for (auto &other : w->vms)
       if (other->up && other.get () != vm)
-        suc_note_claim (other->suc, name.c_str (), vm->name.c_str (), token,
-                        w->now_us);
+        suc_note_claim (other->suc, &claim, w->now_us);
     suc_claimed (vm->suc, name.c_str (), token, true, w->now_us);
   });
 }
--- a/tests/unit/succeed_test.cc
+++ b/tests/unit/succeed_test.cc
@@ -5,6 +5,15 @@
 
 namespace
 {
+// Another proxy claimed, to act at once or in calm.
+void
+NoteClaim (PoolWorld *w, const char *vm, uint64_t revision, bool acts = true)
+{
+  struct suc_claim claim = { "stock", vm, revision, acts };
+
+  suc_note_claim (w->suc, &claim, w->now_us);
+}
+
 TEST (Succession, Judgements)
 {
   struct
@@ -127,7 +136,7 @@
     { "the same, but another proxy holds the claim",
       [] (PoolWorld *w) {
         g_hash_table_add (w->vms, (gpointer) "vm-2");
-        suc_note_claim (w->suc, "stock", "vm-2", 50, w->now_us);
+        NoteClaim (w, "vm-2", 50);
         w->unresponsive["i-0"] = true;
         w->store_up = false;
       },
@@ -231,7 +240,7 @@
   w.Ask (x, STM_WRITE, nullptr, "a 1");
   w.Run (200000);
   w.unresponsive["i-0"] = true;
-  suc_note_claim (w.suc, "stock", "vm-2", 50, w.now_us);
+  NoteClaim (&w, "vm-2", 50);
   uint32_t in_calm = w.claims;
   for (int n = 0; n < 15; n++)
     {
@@ -255,14 +264,14 @@
   PoolWorld w (30);
   Caller *x = w.Open ("fresh");
   w.Ask (x, STM_WRITE, nullptr, "a 1");
-  suc_note_claim (w.suc, "stock", "vm-2", 50, w.now_us);
+  NoteClaim (&w, "vm-2", 50);
   w.Ask (w.Open ("bounded"), STM_READ, nullptr, "a");
   w.Run (2000000);
   uint32_t in_calm = w.claims;
   w.List (&w.group->instances[0], true);
   // Rank one acts 100 ms later and surveys for 100 ms.
   w.Run (150000);
-  suc_note_claim (w.suc, "stock", "vm-2", 60, w.now_us);
+  NoteClaim (&w, "vm-2", 60);
   w.Run (1000000);
   EXPECT_EQ (w.claims, in_calm);
   EXPECT_TRUE (w.promoted.empty ());
@@ -292,7 +301,7 @@
       if (!asked && w.asked > 0)
         {
           asked = true;
-          suc_note_claim (w.suc, "stock", "vm-2", 60, w.now_us);
+          NoteClaim (&w, "vm-2", 60);
           w.Run (1000000);
           break;
         }
@@ -302,6 +311,29 @@
   EXPECT_TRUE (w.promoted.empty ());
 }
 
+// A claim that another proxy takes in calm says nothing of a primary that dies
+// at the same moment: nobody acts by it.
+TEST (Succession, AClaimTakenInCalmDelaysNobody)
+{
+  for (bool acts : { false, true })
+    {
+      PoolWorld w (32);
+      Caller *x = w.Open ("fresh");
+      w.Ask (x, STM_WRITE, nullptr, "a 1");
+      w.Ask (w.Open ("bounded"), STM_READ, nullptr, "a");
+      w.Run (1000000);
+      w.unresponsive["i-0"] = true;
+      for (int n = 0; n < 22; n++)
+        {
+          if (n == 7)
+            NoteClaim (&w, "vm-2", 1000, acts);
+          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+          w.Run (100000);
+        }
+      EXPECT_EQ (w.promoted.size (), acts ? 0u : 1u) << acts;
+    }
+}
+
 TEST (Succession, OneProxyHoldsEachClaimInCalm)
 {
   static const struct
@@ -321,7 +353,7 @@
       PoolWorld w (24);
       w.revision = 100;
       if (c.holder)
-        suc_note_claim (w.suc, "stock", c.holder, 50, w.now_us);
+        NoteClaim (&w, c.holder, 50, false);
       if (c.listed)
         g_hash_table_add (w.vms, (gpointer)c.holder);
       Caller *x = w.Open ("fresh");
