Connections through former homes are let go

Change: when the homes of an instance change, links through former ones end with the statement under way. The test fails without it.

--- a/packages/core/poolrun.c
+++ b/packages/core/poolrun.c
@@ -45,6 +45,28 @@
   return need;
 }
 
+/* Lets go of the connections through proxies that are no homes of I any more:
+   they hold few connections to it themselves.  */
+static void
+leave_former_homes (struct plr *p, struct svc_instance *i)
+{
+  for (guint n = i->links->len; n > 0; n--)
+    {
+      struct ul *link = g_ptr_array_index (i->links, n - 1);
+
+      if (!link->home || rly_is_home (&i->homes, link->home)
+          || g_strcmp0 (link->home, i->helper) == 0)
+        continue;
+      /* What is under way on it ends first.  */
+      link->doomed = true;
+      if (link->session || link->questions->len > 0 || link->phase != UL_OPEN)
+        continue;
+      ctr_add (p->o.counters, CTR_LINKS_TRIMMED, 1);
+      ul_close (link);
+      g_ptr_array_add (p->dropped, link);
+    }
+}
+
 void
 plr_update_homes (struct plr *p, struct svc *s)
 {
@@ -56,6 +78,7 @@
         continue;
       rly_find_homes (&p->vms, i->entry, s->connections_max, &i->homes);
       i->limits = plc_limits_for (i, s->connections_max, p->vms.vms->len);
+      leave_former_homes (p, i);
     }
 }
 
--- a/packages/core/relay.c
+++ b/packages/core/relay.c
@@ -164,6 +164,15 @@
   scores[at] = score;
 }
 
+bool
+rly_is_home (const struct rly_homes *h, const char *name)
+{
+  for (uint32_t k = 0; k < h->n; k++)
+    if (strcmp (h->vms[k]->name, name) == 0)
+      return true;
+  return false;
+}
+
 static bool
 may_go_directly (guint n_vms, int32_t connections_max)
 {
@@ -192,6 +201,5 @@
 
       insert (out, scores, most, vm, score_of (t, vm, instance));
     }
-  for (uint32_t k = 0; k < out->n; k++)
-    out->own |= strcmp (out->vms[k]->name, t->own) == 0;
+  out->own = rly_is_home (out, t->own);
 }
--- a/packages/core/relay.h
+++ b/packages/core/relay.h
@@ -62,6 +62,8 @@
 bool rly_is_known (struct rly_table *t, int64_t now_us);
 /* The proxy of that name, NULL when unknown or NAME is.  */
 const struct rly_vm *rly_get (const struct rly_table *t, const char *name);
+/* True when the proxy of that name is one of H.  */
+bool rly_is_home (const struct rly_homes *h, const char *name);
 /* The homes of INSTANCE, by weighted rendezvous hashing: near ones first, the
    strong more often; a proxy that comes or goes moves only its own.  */
 void rly_find_homes (const struct rly_table *t,
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -321,6 +321,44 @@
   ExpectNoBreach (w);
 }
 
+// Homes change when proxies come and go.  A former home holds few connections:
+// the statements of all who stayed with it would queue for them.
+TEST (Pooler, FormerHomesAreLeft)
+{
+  PoolWorld w (33);
+  int in_use = 0;
+
+  plr_set_vm (w.pooler, "vm-1", "10.0.0.8:1", "z", 0.1);
+  for (int n = 0; n < 40; n++)
+    plr_set_vm (w.pooler, ("old-" + std::to_string (n)).c_str (), "10.0.0.9:1",
+                n % 2 ? "a" : "b", 0.1);
+  auto load = [&w] {
+    for (int n = 0; n < 40; n++)
+      {
+        w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+        w.Send (w.Open ("fresh"), STM_WRITE, nullptr, "a 1");
+        w.Run (20000);
+      }
+  };
+  load ();
+  for (int n = 0; n < 8; n++)
+    plr_set_vm (w.pooler, ("new-" + std::to_string (n)).c_str (), "10.0.0.9:1",
+                n % 2 ? "a" : "b", 1e9);
+  load ();
+  for (const auto &u : w.ups)
+    if (u->open)
+      {
+        in_use++;
+        EXPECT_TRUE (g_str_has_prefix (u->link->home, "new-"))
+            << u->link->home;
+      }
+  EXPECT_GT (in_use, 0);
+  for (const auto &c : w.callers)
+    EXPECT_FALSE (c->busy);
+  EXPECT_EQ (w.Refusals (RFS_OVERLOADED), 0u);
+  ExpectNoBreach (w);
+}
+
 TEST (Pooler, AnInstanceThatStartsAgainUnderItsIdIsAnother)
 {
   // Statements under way went to the entry that was about to be freed.
