--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -120,7 +120,7 @@
   uint32_t votes_missed = 3;
   uint32_t claims = 0;
   uint32_t gone_at_opening = 0; // links freed by the event that opened them
-  uint32_t asked = 0; // proxies that were asked to vote
+  uint32_t asked = 0;           // proxies that were asked to vote
   std::vector<std::string> promoted;
 
   struct Event
