One question for news, one copy of an item

Cause: read back, the question to a feeder and the one to any peer were built twice, the latter from a revision that its caller fetched through the same port; sending items took an address that was always none; an item was copied in two places. Change: ask_news, send_items and copy_item serve both. Ruled out: sharing feed.c's choice of feeders with relay.c's choice of homes, which rank by another order.

--- a/packages/core/items.c
+++ b/packages/core/items.c
@@ -23,15 +23,12 @@
   g_free (item);
 }
 
-static struct gsp_item *
-copy_item (const struct gsp_item *item)
+static void
+copy_item (struct gsp_item *copy, const struct gsp_item *item)
 {
-  struct gsp_item *copy = g_new0 (struct gsp_item, 1);
-
   copy->key = g_strdup (item->key);
   copy->value = g_strdup (item->value);
   copy->revision = item->revision;
-  return copy;
 }
 
 struct itm_cache *
@@ -63,7 +60,8 @@
 
   if (known && known->revision >= item->revision)
     return false;
-  copy = copy_item (item);
+  copy = g_new0 (struct gsp_item, 1);
+  copy_item (copy, item);
   g_hash_table_replace (c->items, copy->key, copy);
   return true;
 }
@@ -215,14 +213,8 @@
         }
     }
   for (guint i = 0; i < n; i++)
-    {
-      const struct gsp_item *known = g_ptr_array_index (newer, i);
-      struct gsp_item *copy = &message->items[message->n_items++];
-
-      copy->key = g_strdup (known->key);
-      copy->value = g_strdup (known->value);
-      copy->revision = known->revision;
-    }
+    copy_item (&message->items[message->n_items++],
+               g_ptr_array_index (newer, i));
   g_ptr_array_free (newer, TRUE);
   message->base = covers (c, revision) ? revision : UINT64_MAX;
   message->revision = complete;
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -120,17 +120,17 @@
   send_to (c, from, NULL, &vote);
 }
 
-/* Sends VM the items newer than REVISION.  ADDRESS as for send_to.  */
+/* Sends VM the items newer than REVISION, on the link that it opened.  */
 static void
-send_items (struct cluster *c, const char *vm, const char *address,
-            uint64_t revision)
+send_items (void *arg, const char *vm, uint64_t revision)
 {
+  struct cluster *c = arg;
   struct gsp_message items = { 0 };
 
   items.kind = GSP_ITEMS;
   items.items = g_new0 (struct gsp_item, GSP_ITEMS_MAX);
   c->o.sink.collect (c->o.sink.arg, revision, &items);
-  send_to (c, vm, address, &items);
+  send_to (c, vm, NULL, &items);
   gsp_clear (&items);
 }
 
@@ -139,14 +139,7 @@
                     int64_t now_us)
 {
   fed_note_question (c->feed, from, revision, now_us);
-  send_items (c, from, NULL, revision);
-}
-
-/* The proxy that asked is answered on the link that it opened.  */
-static void
-push_items (void *arg, const char *vm, uint64_t revision)
-{
-  send_items (arg, vm, NULL, revision);
+  send_items (c, from, revision);
 }
 
 static void
@@ -159,19 +152,26 @@
     fed_note_answer (c->feed, age_us, now_us);
 }
 
+/* Asks VM for what is newer than all that is known here.  */
 static void
-ask_feeder (struct cluster *c, int64_t now_us)
+ask_news (struct cluster *c, const char *vm)
 {
-  const char *vm = fed_next_question (c->feed, now_us);
   struct gsp_message m = { 0 };
 
-  if (!vm)
-    return;
   m.kind = GSP_SINCE;
   m.revision = c->o.sink.complete_to (c->o.sink.arg);
   ask_one (c, vm, &m);
 }
 
+static void
+ask_feeder (struct cluster *c, int64_t now_us)
+{
+  const char *vm = fed_next_question (c->feed, now_us);
+
+  if (vm)
+    ask_news (c, vm);
+}
+
 static void
 on_message (void *arg, const char *from, const char *data, size_t len)
 {
@@ -302,21 +302,17 @@
 }
 
 void
-cluster_ask_directory (struct cluster *c, uint64_t revision)
+cluster_ask_directory (struct cluster *c)
 {
-  struct gsp_message m = { 0 };
   guint n = g_hash_table_size (c->vms);
   guint pick = n > 0 ? g_random_int_range (0, (gint32)n) : 0;
   GHashTableIter iter;
   gpointer vm;
-  gpointer address;
 
-  m.kind = GSP_SINCE;
-  m.revision = revision;
   g_hash_table_iter_init (&iter, c->vms);
-  for (guint i = 0; g_hash_table_iter_next (&iter, &vm, &address); i++)
-    if (i == pick && strcmp (vm, c->o.vm) != 0)
-      send_to (c, vm, address, &m);
+  for (guint i = 0; g_hash_table_iter_next (&iter, &vm, NULL); i++)
+    if (i == pick)
+      ask_news (c, vm);
 }
 
 void
@@ -327,7 +323,7 @@
   c->tick_us = now_us + SUC_TICK_US;
   peers_tick (c->peers, now_us);
   ask_feeder (c, now_us);
-  fed_push (c->feed, c->o.sink.complete_to (c->o.sink.arg), push_items, c,
+  fed_push (c->feed, c->o.sink.complete_to (c->o.sink.arg), send_items, c,
             now_us);
   suc_tick (c->suc, c->vms, now_us);
 }
--- a/packages/proxy/cluster.h
+++ b/packages/proxy/cluster.h
@@ -60,9 +60,8 @@
 void cluster_remove_vm (struct cluster *c, const char *name, int64_t now_us);
 /* Who reads the store.  */
 struct fed *cluster_feed (struct cluster *c);
-/* Asks one peer for what is newer than REVISION, up to which all is known, in
-   the directory.  */
-void cluster_ask_directory (struct cluster *c, uint64_t revision);
+/* Asks one peer for what is new in the directory.  */
+void cluster_ask_directory (struct cluster *c);
 /* Call after each turn of the loop.  */
 void cluster_turn (struct cluster *c, int64_t now_us);
 
