One queue of events for both worlds of virtual time

Cause: fleetworld had the event queue and clock of poolworld once more. Change: tests/unit/virtualtime.h holds them, both worlds are built on it.

--- a/tests/unit/fleetworld.cc
+++ b/tests/unit/fleetworld.cc
@@ -316,7 +316,7 @@
   bool acts = instance[0] != '\0';
 
   w->At (vm, 10000, [vm, w, name, acts] {
-    uint64_t token = 1000 + ++w->order;
+    uint64_t token = 1000 + ++w->serial;
     struct suc_claim claim = { name.c_str (), vm->name.c_str (), token, acts };
 
     for (auto &other : w->vms)
@@ -544,12 +544,6 @@
   g_hash_table_destroy (names);
 }
 
-void
-FleetWorld::At (int64_t delay_us, std::function<void ()> fn)
-{
-  events.push ({ now_us + delay_us, order++, std::move (fn) });
-}
-
 void
 FleetWorld::At (FleetVm *vm, int64_t delay_us, std::function<void ()> fn)
 {
@@ -561,22 +555,6 @@
   });
 }
 
-void
-FleetWorld::Run (int64_t for_us)
-{
-  int64_t end_us = now_us + for_us;
-
-  while (!events.empty () && events.top ().at_us <= end_us)
-    {
-      Event e = events.top ();
-
-      events.pop ();
-      now_us = std::max (now_us, e.at_us);
-      e.run ();
-    }
-  now_us = end_us;
-}
-
 void
 FleetWorld::Start (FleetVm *vm)
 {
--- a/tests/unit/fleetworld.h
+++ b/tests/unit/fleetworld.h
@@ -12,6 +12,7 @@
 #include "pooler.h"
 #include "succeed.h"
 }
+#include "virtualtime.h"
 #include <deque>
 #include <functional>
 #include <memory>
@@ -125,7 +126,7 @@
   uint64_t life = 0; // of its process; events of former ones are void
 };
 
-struct FleetWorld
+struct FleetWorld : VirtualTime
 {
   FleetOptions o;
   GHashTable *regions;
@@ -134,8 +135,6 @@
   std::vector<std::unique_ptr<FleetInstance> > instances;
   std::vector<std::unique_ptr<FleetVm> > vms;
   std::mt19937_64 random;
-  int64_t now_us = 1000000;
-  uint64_t order = 0;
   // What the fleet did.
   uint64_t refused_full = 0; // connections beyond an instance's limit
   uint64_t messages = 0;     // between proxies, for votes and connections
@@ -143,25 +142,11 @@
   std::vector<uint64_t> sent, in_time; // a tenth of a second each
   std::vector<FleetTally> tallies;     // by service
 
-  struct Event
-  {
-    int64_t at_us;
-    uint64_t order;
-    std::function<void ()> run;
-    bool
-    operator<(const Event &e) const
-    {
-      return at_us != e.at_us ? at_us > e.at_us : order > e.order;
-    }
-  };
-  std::priority_queue<Event> events;
-
   FleetWorld (uint64_t seed, const FleetOptions &options);
   ~FleetWorld ();
-  void At (int64_t delay_us, std::function<void ()> fn);
+  using VirtualTime::At;
   // The same, void once the process of VM ends.
   void At (FleetVm *vm, int64_t delay_us, std::function<void ()> fn);
-  void Run (int64_t for_us);
   void Start (FleetVm *vm);
   // Its process ends without a word; connections linger at instances.
   void LosePower (FleetVm *vm);
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -408,27 +408,6 @@
   return *slot;
 }
 
-void
-PoolWorld::At (int64_t delay_us, std::function<void ()> fn)
-{
-  events.push ({ now_us + delay_us, serial++, std::move (fn) });
-}
-
-void
-PoolWorld::Run (int64_t for_us)
-{
-  int64_t end_us = now_us + for_us;
-
-  while (!events.empty () && events.top ().at_us <= end_us)
-    {
-      Event e = events.top ();
-      events.pop ();
-      now_us = std::max (now_us, e.at_us);
-      e.run ();
-    }
-  now_us = end_us;
-}
-
 void
 PoolWorld::Configure (uint64_t version, std::vector<std::string> dropped)
 {
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -10,6 +10,7 @@
 #include "pooler.h"
 #include "succeed.h"
 }
+#include "virtualtime.h"
 #include <functional>
 #include <map>
 #include <memory>
@@ -83,7 +84,7 @@
   struct PoolWorld *world;
 };
 
-struct PoolWorld
+struct PoolWorld : VirtualTime
 {
   WorldPort<struct plr_port> callers_port;
   WorldPort<struct ul_port> ups_port;
@@ -107,8 +108,6 @@
   std::map<std::string, std::string> sender_names;
   std::map<std::string, std::string> sender_databases;
   std::vector<std::string> log_lines;
-  int64_t now_us = 1000000;
-  uint64_t serial = 0;
   uint64_t revision = 10;
   std::string refuse_at; // instance whose homes are overloaded
   bool store_up = true;
@@ -122,25 +121,10 @@
   uint32_t gone_at_opening = 0; // links freed by the event that opened them
   uint32_t asked = 0;           // proxies that were asked to vote
   std::vector<std::string> promoted;
-
-  struct Event
-  {
-    int64_t at_us;
-    uint64_t order;
-    std::function<void ()> run;
-    bool
-    operator<(const Event &o) const
-    {
-      return at_us != o.at_us ? at_us > o.at_us : order > o.order;
-    }
-  };
-  std::priority_queue<Event> events;
   void *tick_ = nullptr;
 
   explicit PoolWorld (uint64_t seed, uint32_t n_instances = 3);
   ~PoolWorld ();
-  void At (int64_t delay_us, std::function<void ()> fn);
-  void Run (int64_t for_us);
   void Configure (uint64_t version, std::vector<std::string> dropped = {});
   void List (struct dbm_instance *i, bool draining = false,
              int64_t born_ms = 0);
