--- a/packages/core/poolend.c
+++ b/packages/core/poolend.c
@@ -467,11 +467,12 @@
   plr_free_dropped (p);
 }
 
-void
+bool
 plr_link_opened (struct plr *p, struct ul *link, struct lp position,
                  int64_t now_us)
 {
   struct svc_instance *i = link->instance;
+  bool stays;
 
   link->phase = UL_OPEN;
   i->n_opening--;
@@ -485,7 +486,9 @@
   if (lp_is_known (position))
     svc_note_position (i, position);
   plr_settle (p, link, now_us);
+  stays = !link->closed;
   plr_free_dropped (p);
+  return stays;
 }
 
 static void
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -109,7 +109,8 @@
 void plr_close_session (struct plr *p, struct ses *s, int64_t now_us);
 
 /* Upstream events.  */
-void plr_link_opened (struct plr *p, struct ul *link, struct lp position,
+/* False when LINK is of no use any more and was freed.  */
+bool plr_link_opened (struct plr *p, struct ul *link, struct lp position,
                       int64_t now_us);
 /* The instance refused the connection with CODE.  Frees LINK.  */
 void plr_link_refused (struct plr *p, struct ul *link, enum sqc code,
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -381,8 +381,7 @@
   if (m->kind == CODEC_READY)
     {
       u->started = true;
-      plr_link_opened (g->pooler, link, m->position, loop_now_us ());
-      return true;
+      return plr_link_opened (g->pooler, link, m->position, loop_now_us ());
     }
   plr_link_refused (g->pooler, link,
                     m->kind == CODEC_ERROR ? m->code : SQC_FAILED,
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -359,6 +359,32 @@
   ExpectNoBreach (w);
 }
 
+// A link through a home that is one no more is freed by the event that opens
+// it: its owner is told, and reads no further answer from it.
+TEST (Pooler, ALinkThatOpensThroughAFormerHomeIsGone)
+{
+  PoolWorld w (35);
+
+  plr_set_vm (w.pooler, "vm-1", "10.0.0.8:1", "z", 0.1);
+  for (int n = 0; n < 40; n++)
+    plr_set_vm (w.pooler, ("old-" + std::to_string (n)).c_str (), "10.0.0.9:1",
+                n % 2 ? "a" : "b", 0.1);
+  // Opening takes three round trips.
+  w.faults.round_trip_us = 100000;
+  w.Run (150000);
+  for (int n = 0; n < 8; n++)
+    plr_set_vm (w.pooler, ("new-" + std::to_string (n)).c_str (), "10.0.0.9:1",
+                n % 2 ? "a" : "b", 1e9);
+  w.Run (2000000);
+  EXPECT_GT (w.gone_at_opening, 0u);
+  for (const auto &u : w.ups)
+    if (u->open)
+      {
+        EXPECT_TRUE (g_str_has_prefix (u->link->home, "new-"));
+      }
+  ExpectNoBreach (w);
+}
+
 TEST (Pooler, AnInstanceThatStartsAgainUnderItsIdIsAnother)
 {
   // Statements under way went to the entry that was about to be freed.
