--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -416,12 +416,9 @@
 {
   struct ul_request request;
 
-  /* A home replies to setup requests itself; other replies show that the
-     instance is up.  */
-  if (!link->home
-      || (link->requests->len > 0
-          && g_array_index (link->requests, struct ul_request, 0).purpose
-                 != UL_SETUP))
+  /* A reply that a home gives itself, such as a refusal, carries no position of
+     the instance's log and does not show that the instance is up.  */
+  if (!link->home || lp_is_known (result->position))
     note_heard (p, link->instance, now_us);
   if (!ul_take_request (link, &request))
     {
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -7,6 +7,9 @@
 
 namespace
 {
+// How long a statement waits at a home that cannot pass it on.
+const int64_t kHomeWaitUs = 500000;
+
 // Each port is the first member of its WorldPort.
 template <typename P>
 PoolWorld *
@@ -158,6 +161,19 @@
   struct logpos after;
 };
 
+// The reply of a home that could not pass the statement on to its instance.
+void
+RefuseAtHome (PoolWorld *w, UpConn *u, enum sqc code, int64_t after_us)
+{
+  struct stm_result result = {};
+
+  result.code = code;
+  w->At (after_us + w->faults.round_trip_us / 2, [w, u, result] {
+    if (u->open)
+      plr_link_replied (w->pooler, u->link, &result, w->now_us);
+  });
+}
+
 void
 RunAtInstance (PoolWorld *w, UpConn *u,
                const std::shared_ptr<SentStatement> &sent)
@@ -167,7 +183,12 @@
   bool needs_slot = s.kind == STM_READ || s.kind == STM_WRITE
                     || s.kind == STM_EXECUTE || s.kind == STM_COMMIT;
 
-  if (!u->conn || w->IsUnresponsive (u))
+  if (!u->conn)
+    return;
+  if (u->via_home && w->homes_refuse && w->unresponsive[u->instance->id]
+      && s.urgency.rank > 0)
+    RefuseAtHome (w, u, SQC_BUSY, kHomeWaitUs);
+  if (w->IsUnresponsive (u))
     return;
   s.id = sent->statement.id ? sent->id.c_str () : nullptr;
   s.name = sent->statement.name ? sent->name.c_str () : nullptr;
@@ -175,10 +196,7 @@
   if (u->via_home && w->overloaded_home_of == u->instance->id
       && (needs_slot || s.kind == STM_BEGIN || s.kind == STM_BEGIN_READ))
     {
-      memset (&result, 0, sizeof result);
-      result.code = SQC_OVERLOADED;
-      w->At (w->faults.round_trip_us / 2,
-             [w, u, result] { DeliverReply (w, u, result, ""); });
+      RefuseAtHome (w, u, SQC_OVERLOADED, 0);
       return;
     }
   int64_t done_us = needs_slot ? w->DoneAt (u->instance, sent->id) : w->now_us;
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -116,6 +116,8 @@
   bool store_silent = false; // claims get no reply
   bool objectives = true;    // the routes have latency objectives
   bool homes_reach = false;  // relay paths to unresponsive instances work
+  // Homes refuse statements for unresponsive instances once these have waited.
+  bool homes_refuse = false;
   uint32_t votes_reached = 0;
   uint32_t votes_missed = 3;
   uint32_t claims = 0;
--- a/tests/unit/sessionfailover_test.cc
+++ b/tests/unit/sessionfailover_test.cc
@@ -442,4 +442,33 @@
       EXPECT_EQ (w.promoted.size (), c.promotions) << c.what;
     }
 }
+
+// Guards against a vote for a primary that is gone: a home answers a statement
+// itself when it cannot pass it on in time, and that refusal must not count as
+// heard from the instance.  The votes spared a dead primary for two seconds.
+TEST (SessionFailover, RefusalByAHomeIsNoVoteForThePrimary)
+{
+  PoolWorld w (47);
+
+  for (int n = 1; n <= 60; n++)
+    plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (), "10.0.1.1:1",
+                n == 1 ? "c" : "a", 0.25);
+  EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 1"), "ok");
+  EXPECT_EQ (sfo_cast_vote (w.sfo, "stock", "i-0", w.now_us),
+             SFO_VOTE_REACHED);
+  w.homes_refuse = true;
+  w.unresponsive["i-0"] = true;
+  for (int n = 0; n < 25; n++)
+    {
+      w.Send (w.Open ("fresh"), STM_READ, nullptr, "a");
+      w.Run (100000);
+      // Before that, the instance may have been heard a short while ago.
+      if (n < 16)
+        continue;
+      EXPECT_NE (sfo_cast_vote (w.sfo, "stock", "i-0", w.now_us),
+                 SFO_VOTE_REACHED)
+          << n;
+    }
+  ExpectNoBreach (w);
+}
 } // namespace
