--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -410,15 +410,30 @@
       EV_TEXT ("service", i->svc->name), EV_TEXT ("instance", i->entry->id));
 }
 
+/* Returns true if RESULT, the reply to the oldest request on LINK, shows that
+   the instance is up.  A home replies itself to setup requests and rollbacks,
+   and when it refuses a request; such replies carry no position of the log.
+   Those of an instance lack it only while its log is empty.  */
+static bool
+comes_from_instance (const struct ul *link, const struct stm_result *result)
+{
+  enum ul_purpose purpose;
+
+  if (!link->home || lp_is_known (result->position))
+    return true;
+  if (!result->ok || link->requests->len == 0)
+    return false;
+  purpose = g_array_index (link->requests, struct ul_request, 0).purpose;
+  return purpose != UL_SETUP && purpose != UL_ROLLBACK;
+}
+
 static void
 handle_reply (struct plr *p, struct ul *link, const struct stm_result *result,
               int64_t now_us)
 {
   struct ul_request request;
 
-  /* A reply that a home gives itself, such as a refusal, carries no position of
-     the instance's log and does not show that the instance is up.  */
-  if (!link->home || lp_is_known (result->position))
+  if (comes_from_instance (link, result))
     note_heard (p, link->instance, now_us);
   if (!ul_take_request (link, &request))
     {
--- a/tests/unit/sessionfailover_test.cc
+++ b/tests/unit/sessionfailover_test.cc
@@ -443,6 +443,27 @@
     }
 }
 
+// An instance whose log is still empty reports no position.  Its replies that
+// come through a home must count as heard all the same, or a primary that
+// nobody has written to yet is replaced.
+TEST (SessionFailover, PrimaryWithAnEmptyLogIsKeptBehindHomes)
+{
+  PoolWorld w (48);
+
+  for (int n = 1; n <= 60; n++)
+    plr_set_vm (w.pooler, ("vm-" + std::to_string (n)).c_str (), "10.0.1.1:1",
+                n == 1 ? "c" : "a", 0.25);
+  for (int n = 0; n < 30; n++)
+    {
+      EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_READ, nullptr, "a"), "ok");
+      w.Run (100000);
+    }
+  EXPECT_EQ (sfo_cast_vote (w.sfo, "stock", "i-0", w.now_us),
+             SFO_VOTE_REACHED);
+  EXPECT_TRUE (w.promoted.empty ());
+  ExpectNoBreach (w);
+}
+
 // Guards against a vote for a primary that is gone: a home answers a statement
 // itself when it cannot pass it on in time, and that refusal must not count as
 // heard from the instance.  The votes spared a dead primary for two seconds.
