--- a/tests/unit/fleetworld.h
+++ b/tests/unit/fleetworld.h
@@ -32,6 +32,14 @@
   int connections_max = 88;
   // Execution time of a statement, by the consistency of its database.
   int64_t fresh_us = 4500, bounded_us = 22000, own_us = 14000;
+  int64_t commit_us = 1500;
+  // Share of the calls that are transactions, and what these consist of.
+  double transactions = 0;
+  int statements = 4; // before the COMMIT
+  int64_t pause_us = 40000;
+  // How often a caller repeats a refused call, and how long it waits before.
+  int retries = 0;
+  int64_t retry_after_us = 100000;
   int64_t handshake_us = 12000;
   int64_t linger_us = 3000000; // a lost connection counts for this long
   int64_t round_trip_us = 4000;
@@ -87,13 +95,38 @@
   uint64_t sent = 0, in_time = 0, late = 0, refused = 0;
 };
 
-// A caller that sends one statement.
+// The kinds of calls, by the consistency of their reads.
+enum FleetKind
+{
+  FLEET_FRESH,
+  FLEET_BOUNDED,
+  FLEET_OWN,
+  FLEET_KINDS
+};
+
+// What a caller asks for.
+struct FleetCall
+{
+  FleetKind kind;
+  int service;
+  bool writes = false;
+  bool transaction = false;
+};
+
+// A caller that runs one statement or transaction.
 struct FleetCaller
 {
   FleetVm *vm;
+  FleetCall call;
+  std::string database;
+  struct FleetTag *tag = nullptr;
   struct ses *session = nullptr;
   int64_t sent_us = 0;
+  int64_t attempt_us = 0; // start of the present attempt
+  int64_t paused_us = 0;  // of the transaction, in all
   int64_t ended_us = 0;
+  int statements_left = 0; // of the transaction, the COMMIT included
+  int retries_left = 0;
   bool ok = false;
 };
 
@@ -124,8 +157,7 @@
   FleetPort<struct sfo_port> failover_port;
   std::vector<std::unique_ptr<FleetLink> > links;
   std::vector<std::unique_ptr<FleetRelay> > relays;
-  std::vector<std::unique_ptr<FleetCaller> > callers;
-  std::vector<std::unique_ptr<FleetTag> > tags;
+  std::vector<std::unique_ptr<FleetTag> > tags; // of the relays
   // Counts its processes; events of former processes are dropped.
   uint64_t incarnation = 0;
 };
@@ -138,6 +170,8 @@
   std::vector<struct dbm *> groups;
   std::vector<std::unique_ptr<FleetInstance> > instances;
   std::vector<std::unique_ptr<FleetVm> > vms;
+  std::vector<std::unique_ptr<FleetCaller> > callers;
+  std::vector<std::unique_ptr<FleetTag> > tags; // of the callers
   std::mt19937_64 random;
   uint64_t refused_full = 0; // connections refused at an instance's limit
   uint64_t messages = 0;     // between proxies, for votes and connections
@@ -145,6 +179,9 @@
   // Calls, and those served in time, per tenth of a second of their arrival.
   std::vector<uint64_t> sent, in_time;
   std::vector<FleetCounts> counts; // by service
+  FleetCounts kinds[FLEET_KINDS];
+  // Attempts refused, and those of them that were refused at once.
+  uint64_t refusals = 0, early_refusals = 0;
 
   FleetWorld (uint64_t seed, const FleetOptions &options);
   ~FleetWorld ();
@@ -156,9 +193,10 @@
   // Ends the process of VM without closing anything: instances count its
   // connections for linger_us more.
   void LosePower (FleetVm *vm);
-  // Sends one statement of a new caller to a random proxy.
-  void Call (const char *database, int service, enum stm_kind kind,
-             int64_t objective_us);
+  // Makes CALL from a new caller to a random proxy.
+  void Call (const FleetCall &call);
+  // Average slot time of a call.
+  double MeanWorkUs () const;
   // Schedules callers for FOR_US from now on, RATE per second on average.
   void Load (double rate, int64_t for_us);
   // Returns the first time from FROM_US on after which, for a second, at least
