--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -13,6 +13,8 @@
 /* Connections to the homes of one instance, which is the number of statements
    that one proxy can have running there through them.  */
 #define HOME_LINKS_MAX 8
+/* The part of its share of the connections that a home may open.  */
+#define HOME_BURST_PERCENT 75
 /* Together, the proxies that hold connections to an instance keep this many
    statements there for each of its slots, so that no slot is idle for a round
    trip; each of them may keep at least one per slot.  Further statements wait
@@ -47,11 +49,15 @@
     }
   else if (homes->includes_own)
     {
-      /* The other half is reserved for the homes that take over after a power
-         loss, while the instance still counts the connections of the former
+      uint32_t share = max / MAX (homes->n, 1);
+
+      /* Half is enough for the statements that run.  More is used for a short
+         while when open transactions hold connections between statements.  The
+         rest is reserved for the homes that take over after a power loss,
+         while the instance still counts the connections of the former
          ones.  */
-      l.max_links = MAX (max / MAX (homes->n, 1) / 2, 1);
-      l.fair_share = l.max_links;
+      l.fair_share = MAX (share / 2, 1);
+      l.max_links = MAX (share * HOME_BURST_PERCENT / 100, 1);
       l.max_running = max_running_for (instance, homes->n);
     }
   else
--- a/tests/unit/overload_test.cc
+++ b/tests/unit/overload_test.cc
@@ -176,6 +176,25 @@
   }
 };
 
+// Open transactions hold connections between their statements.  A home that
+// had no further ones kept the others waiting while the slots were idle.
+TEST (Pooler, OpenTransactionsAtAHomeLeaveConnectionsToOthers)
+{
+  BusyHome h (32);
+  h.w.Run (1000000);
+  for (int n = 0; n < 4; n++)
+    {
+      Caller *c = h.w.OpenRelay ("i-0");
+
+      EXPECT_EQ (h.w.Execute (c, STM_BEGIN_READ), "ok");
+      EXPECT_EQ (h.w.Execute (c, STM_READ, nullptr, "a"), "ok");
+    }
+  Caller *other = h.Send ({ 34, 400 }, STM_READ);
+  h.w.Run (100000);
+  EXPECT_EQ (other->last, "ok");
+  ExpectNoBreach (h.w);
+}
+
 TEST (Pooler, AtAHomeUrgentStatementsGoFirst)
 {
   BusyHome h (26);
