--- a/packages/core/poolerdispatch.c
+++ b/packages/core/poolerdispatch.c
@@ -162,28 +162,59 @@
   return vm && !is_failed_home (p, vm, now_us) ? vm : NULL;
 }
 
-/* Returns the proxy through which to reach I, NULL = directly.  Each proxy
-   starts at another home, so that the load is spread over them.  */
+/* Returns how many connections to I this proxy has through the proxy HOME.  */
+static uint32_t
+count_links_through (const struct svc_instance *i, const char *home)
+{
+  uint32_t n = 0;
+
+  for (guint k = 0; k < i->links->len; k++)
+    {
+      const struct ul *link = g_ptr_array_index (i->links, k);
+
+      n += g_strcmp0 (link->home, home) == 0 ? 1 : 0;
+    }
+  return n;
+}
+
+/* Returns the home of I that has not failed and through which this proxy has
+   the fewest connections, or NULL.  Each proxy starts at another home.  */
+static const struct vmt_vm *
+find_working_home (const struct plr *p, const struct svc_instance *i,
+                   int64_t now_us)
+{
+  const struct vmt_homes *h = &i->homes;
+  uint64_t first = rdv_weight (i->entry->id, p->options.vm);
+  const struct vmt_vm *best = NULL;
+  uint32_t best_links = UINT32_MAX;
+
+  for (uint32_t k = 0; k < h->n; k++)
+    {
+      const struct vmt_vm *vm = h->vms[(first + k) % h->n];
+      uint32_t n_links = count_links_through (i, vm->name);
+
+      if (is_failed_home (p, vm, now_us) || n_links >= best_links)
+        continue;
+      best = vm;
+      best_links = n_links;
+    }
+  return best;
+}
+
+/* Returns the proxy through which to reach I, NULL = directly.  */
 static const struct vmt_vm *
 choose_home (const struct plr *p, const struct svc_instance *i, int64_t now_us)
 {
   const struct vmt_homes *h = &i->homes;
   const struct vmt_vm *relay_proxy = find_relay_proxy (p, i, now_us);
-  uint64_t first;
+  const struct vmt_vm *home;
 
   if (relay_proxy)
     return relay_proxy;
   if (h->direct || h->includes_own || h->n == 0)
     return NULL;
-  first = rdv_weight (i->entry->id, p->options.vm);
-  for (uint32_t k = 0; k < h->n; k++)
-    {
-      const struct vmt_vm *vm = h->vms[(first + k) % h->n];
-
-      if (!is_failed_home (p, vm, now_us))
-        return vm;
-    }
-  return h->vms[first % h->n];
+  home = find_working_home (p, i, now_us);
+  return home ? home : h->vms[rdv_weight (i->entry->id, p->options.vm) % h->n];
 }
 
 struct ul *
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -330,6 +330,32 @@
   ExpectNoBreach (w);
 }
 
+// The homes of an instance share its slots evenly, so that a proxy that sends
+// all its statements through one of them waits while the others are idle.
+TEST (Pooler, ConnectionsAreSpreadOverTheHomes)
+{
+  PoolWorld w (49);
+  std::map<std::string, int> by_home;
+
+  plr_set_vm (w.pooler, "vm-1", "10.0.0.8:1", "z", 0.1);
+  for (int n = 0; n < 40; n++)
+    plr_set_vm (w.pooler, ("old-" + std::to_string (n)).c_str (), "10.0.0.9:1",
+                n % 2 ? "a" : "b", 0.1);
+  w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 1");
+  w.faults.work_us = 300000;
+  for (int n = 0; n < 8; n++)
+    {
+      w.Send (w.Open ("fresh"), STM_READ, nullptr, "a");
+      w.Run (10000);
+    }
+  for (const auto &u : w.ups)
+    if (u->open && u->instance->index == 0)
+      by_home[u->link->home]++;
+  ASSERT_EQ (by_home.size (), 2u);
+  EXPECT_LE (abs (by_home.begin ()->second - by_home.rbegin ()->second), 1);
+  ExpectNoBreach (w);
+}
+
 // Homes change when proxies start and stop.  A former home keeps few
 // connections to the instance, so statements still sent through it would queue
 // there.
