--- a/packages/core/overload.c
+++ b/packages/core/overload.c
@@ -1,6 +1,8 @@
 /* Overload control.  */
 #include "overload.h"
 
+#include <xxhash.h>
+
 /* Exponential smoothing: a new value has a weight of one part in this many. */
 #define EXEC_SMOOTHING 64
 #define GAP_SMOOTHING 8
@@ -21,6 +23,15 @@
    queue that a promotion or a burst leaves is served sooner.  */
 #define SUSTAINED_US 1000000
 
+uint32_t
+ovl_kind_id (const struct dir_route *route)
+{
+  const int64_t fields[] = { route->reads, route->priority,
+                             route->objective_us, route->timeout_us };
+
+  return (uint32_t)XXH3_64bits (fields, sizeof fields) | 1;
+}
+
 uint32_t
 ovl_find_kind (struct ovl_kinds *k, const struct dir_route *route)
 {
@@ -37,6 +48,7 @@
   if (k->n == OVL_KINDS_MAX)
     return OVL_KINDS_MAX - 1;
   kind = &k->kinds[k->n];
+  kind->id = ovl_kind_id (route);
   kind->reads = route->reads;
   kind->objective_us = route->objective_us;
   kind->timeout_us = route->timeout_us;
@@ -44,6 +56,18 @@
   return k->n++;
 }
 
+bool
+ovl_find_kind_id (const struct ovl_kinds *k, uint32_t id, uint32_t *kind)
+{
+  for (uint32_t i = 0; i < k->n; i++)
+    if (k->kinds[i].id == id)
+      {
+        *kind = i;
+        return true;
+      }
+  return false;
+}
+
 void
 ovl_note_exec_time (struct ovl_kinds *k, uint32_t kind, int64_t excess_us)
 {
--- a/packages/core/overload.h
+++ b/packages/core/overload.h
@@ -19,6 +19,7 @@
    database.  */
 struct ovl_kind
 {
+  uint32_t id; /* the same at all proxies, never 0 */
   enum dir_read_consistency reads;
   int64_t objective_us;
   int64_t timeout_us;
@@ -37,6 +38,11 @@
 
 /* The index of ROUTE's kind, added when new.  */
 uint32_t ovl_find_kind (struct ovl_kinds *k, const struct dir_route *route);
+/* The id of ROUTE's kind.  */
+uint32_t ovl_kind_id (const struct dir_route *route);
+/* Stores in KIND the index of the kind with ID.  Returns false if there is
+   none.  */
+bool ovl_find_kind_id (const struct ovl_kinds *k, uint32_t id, uint32_t *kind);
 /* A statement of KIND took EXCESS_US more than the average.  */
 void ovl_note_exec_time (struct ovl_kinds *k, uint32_t kind,
                          int64_t excess_us);
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -225,6 +225,7 @@
   w->max_age_us = r->max_age_us;
   w->timeout_us = r->timeout_us;
   w->objective_us = r->objective_us;
+  w->kind_known = true;
   w->request_kind = ovl_find_kind (&p->request_kinds, r);
   return true;
 }
--- a/packages/core/poolerdispatch.c
+++ b/packages/core/poolerdispatch.c
@@ -292,9 +292,10 @@
   return out;
 }
 
-/* Rank and remaining wait of the statement of S, for the queue of a home.  */
+/* Rank, kind and remaining wait of the statement of S, for the queue of a
+   home.  */
 static struct stm_urgency
-urgency_of (const struct ses *s, int64_t now_us)
+urgency_of (const struct plr *p, const struct ses *s, int64_t now_us)
 {
   struct stm_urgency u = { .rank = s->rank };
   int64_t left_us = s->max_wait_us - (now_us - s->arrived_us);
@@ -303,6 +304,7 @@
      and gets no limit.  */
   if (s->max_wait_us > 0 && left_us > 0)
     u.max_wait_ms = (uint32_t)MAX (left_us / 1000, 1);
+  u.kind = p->request_kinds.kinds[s->work.request_kind].id;
   return u;
 }
 
@@ -314,7 +316,7 @@
 
   ctr_add (p->options.counters, CTR_STATEMENTS, 1);
   s->sent_us = now_us;
-  out.urgency = urgency_of (s, now_us);
+  out.urgency = urgency_of (p, s, now_us);
   ul_send (s->link, UL_STATEMENT, min_position, &out, s, now_us);
 }
 
@@ -322,11 +324,12 @@
    statement is sent only after the reply: if BEGIN failed, it would run
    outside a transaction, on an instance that may lack the minimum position. */
 static void
-send_begin (struct ses *s, const struct plc_need *need, int64_t now_us)
+send_begin (struct plr *p, struct ses *s, const struct plc_need *need,
+            int64_t now_us)
 {
   struct stm begin = { .kind = need->confirm ? STM_BEGIN : STM_BEGIN_READ };
 
-  begin.urgency = urgency_of (s, now_us);
+  begin.urgency = urgency_of (p, s, now_us);
   s->sent_us = now_us;
   s->awaits_begin = true;
   ul_send (s->link, UL_BEGIN, need->min_position, &begin, s, now_us);
@@ -341,7 +344,7 @@
   if (s->work.transaction && !s->work.begun)
     {
       s->work.begun = true;
-      send_begin (s, need, now_us);
+      send_begin (p, s, need, now_us);
     }
   else if (s->work.transaction)
     send_statement (p, s, &out, LP_NONE, now_us);
@@ -353,7 +356,7 @@
   else if (need->confirm && !s->writes)
     {
       s->proxy_transaction = true;
-      send_begin (s, need, now_us);
+      send_begin (p, s, need, now_us);
     }
   else
     send_statement (p, s, &out, need->min_position, now_us);
--- a/packages/core/poolerrelay.c
+++ b/packages/core/poolerrelay.c
@@ -124,6 +124,24 @@
   send_relay (p, s, now_us);
 }
 
+/* Ranks the statement of S.  If its kind is known, this proxy decides: as a
+   home it has run more statements of each kind than the proxy that sent it. */
+static void
+set_rank (struct plr *p, struct ses *s, const struct stm_urgency *urgency)
+{
+  const struct ovl_kinds *kinds = &p->request_kinds;
+  bool overdue = urgency->rank >= OVL_OVERDUE_RANK;
+
+  s->rank = urgency->rank;
+  /* The proxy's own requests, of rank 0, have no kind.  */
+  s->work.kind_known
+      = urgency->rank > 0
+        && ovl_find_kind_id (kinds, urgency->kind, &s->work.request_kind);
+  if (s->work.kind_known)
+    s->rank = ovl_rank (kinds, s->work.request_kind)
+              + (overdue ? OVL_OVERDUE_RANK : 0);
+}
+
 void
 plr_run_relay_statement (struct plr *p, struct ses *s,
                          const struct stm *statement, int64_t now_us)
@@ -156,7 +174,7 @@
     {
       s->work.svc = i->svc;
       s->work.timeout_us = RELAY_WAIT_US;
-      s->rank = statement->urgency.rank;
+      set_rank (p, s, &statement->urgency);
       s->max_wait_us = (int64_t)statement->urgency.max_wait_ms * 1000;
       plr_accept_statement (p, s, statement, false, now_us);
     }
--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -358,6 +358,22 @@
     fail_statement (p, s, result->code, now_us);
 }
 
+/* Records how long the statement of REQUEST took.  */
+static void
+note_exec_time (struct plr *p, const struct ul *link,
+                const struct ul_request *request, int64_t now_us)
+{
+  struct svc_instance *i = link->instance;
+  const struct ses *s = request->session;
+  int64_t took_us = now_us - request->sent_us;
+  int64_t excess_us = took_us - i->round_trip_us - i->exec_us;
+
+  svc_note_exec_time (i, took_us);
+  /* Through a home, it includes a wait that depends on the rank itself.  */
+  if (s && s->work.kind_known && !link->home)
+    ovl_note_exec_time (&p->request_kinds, s->work.request_kind, excess_us);
+}
+
 static void
 on_statement (struct plr *p, struct ul *link, const struct ul_request *request,
               const struct stm_result *result, int64_t now_us)
@@ -365,17 +381,14 @@
   struct svc_instance *i = link->instance;
   struct ses *s = request->session;
   struct stm_result out = *result;
-  int64_t usual_us = i->round_trip_us + i->exec_us;
 
   if (result->ok)
-    svc_note_exec_time (i, now_us - request->sent_us);
+    note_exec_time (p, link, request, now_us);
   if (!s)
     return;
   if (result->ok)
     {
       i->behind_backoff_us = 0;
-      ovl_note_exec_time (&p->request_kinds, s->work.request_kind,
-                          now_us - request->sent_us - usual_us);
       if (s->writes && !s->work.transaction)
         plr_note_primary (p, i, request->sent_us, result->position, now_us);
       plr_complete (p, s, &out, now_us);
@@ -450,6 +463,8 @@
     {
       if (request.purpose == UL_BEGIN && request.confirms_primary)
         note_begin (p, link, &request, result, now_us);
+      if (request.purpose == UL_STATEMENT && result->ok)
+        note_exec_time (p, link, &request, now_us);
       plr_relay_reply (p, request.session, result, now_us);
       plr_recycle_link (p, link, now_us);
       return;
--- a/packages/core/session.h
+++ b/packages/core/session.h
@@ -50,6 +50,7 @@
   int64_t max_age_us;
   int64_t timeout_us;
   int64_t objective_us;
+  bool kind_known;       /* REQUEST_KIND is valid */
   uint32_t request_kind; /* see ovl_find_kind */
 };
 
--- a/packages/core/statement.h
+++ b/packages/core/statement.h
@@ -31,6 +31,7 @@
 {
   uint32_t rank;        /* the lowest is served first */
   uint32_t max_wait_ms; /* 0 = no limit but the timeout */
+  uint32_t kind;        /* id of its request kind, see ovl_kind; 0 = none */
 };
 
 /* One statement.  ID is NULL if the proxy itself sends it.  NAME is the name
--- a/tests/unit/overload_test.cc
+++ b/tests/unit/overload_test.cc
@@ -154,7 +154,7 @@
     w.faults.slot_queue = 16;
     w.faults.work_us = 20000;
     for (int n = 0; n < 20; n++)
-      waiting.push_back (Send ({ 34, 400 }, STM_READ));
+      waiting.push_back (Send ({ 34, 400, 0 }, STM_READ));
     w.Run (65000);
   }
   Caller *
@@ -189,7 +189,7 @@
       EXPECT_EQ (h.w.Execute (c, STM_BEGIN_READ), "ok");
       EXPECT_EQ (h.w.Execute (c, STM_READ, nullptr, "a"), "ok");
     }
-  Caller *other = h.Send ({ 34, 400 }, STM_READ);
+  Caller *other = h.Send ({ 34, 400, 0 }, STM_READ);
   h.w.Run (100000);
   EXPECT_EQ (other->last, "ok");
   ExpectNoBreach (h.w);
@@ -198,7 +198,7 @@
 TEST (Pooler, AtAHomeUrgentStatementsGoFirst)
 {
   BusyHome h (26);
-  Caller *urgent = h.Send ({ 17, 400 }, STM_READ);
+  Caller *urgent = h.Send ({ 17, 400, 0 }, STM_READ);
   int before = h.Completed ();
   while (urgent->busy)
     h.w.Run (1000);
@@ -210,13 +210,53 @@
   ExpectNoBreach (h.w);
 }
 
+// A proxy that runs few statements may think that the longer kind is the
+// shorter one, also because the wait at a busy home counts as execution time
+// there.  A home that knows the kinds better must not follow it.
+TEST (Pooler, AHomeRanksStatementsByWhatItHasMeasured)
+{
+  struct dir_route bounded = {}, own = {};
+  const struct stm_urgency idle = { 40, 400, 0 };
+  BusyHome h (33);
+  std::vector<Caller *> longer;
+
+  bounded.reads = DIR_READ_BOUNDED_STALE;
+  bounded.objective_us = 600000;
+  own.reads = DIR_READ_YOUR_WRITES;
+  own.objective_us = 500000;
+  bounded.timeout_us = own.timeout_us = 800000;
+  h.w.Run (1000000);
+  // Reads of both kinds that only the primary can serve.
+  for (uint32_t k = 1; k < h.w.group->n; k++)
+    h.w.group->instances[k].lag_us = 60000000;
+  h.w.work_us = { { "bounded", 22000 }, { "own", 9000 } };
+  for (int n = 0; n < 200; n++)
+    {
+      h.w.Execute (h.w.Open ("fresh"), STM_WRITE, nullptr, "a 1");
+      h.w.Execute (h.w.Open (n % 2 ? "bounded" : "own"), STM_READ, nullptr,
+                   "a");
+    }
+  // The slots are busy, and the sender ranks the kinds the wrong way round.
+  for (int n = 0; n < 6; n++)
+    h.Send (idle, STM_READ);
+  for (int n = 0; n < 4; n++)
+    longer.push_back (h.Send ({ 33, 400, ovl_kind_id (&bounded) }, STM_READ));
+  Caller *shorter = h.Send ({ 34, 400, ovl_kind_id (&own) }, STM_READ);
+  while (shorter->busy)
+    h.w.Run (1000);
+  EXPECT_EQ (shorter->last, "ok");
+  for (const Caller *c : longer)
+    EXPECT_TRUE (c->busy);
+  ExpectNoBreach (h.w);
+}
+
 // Guards against a false suspicion: when the probes of other proxies waited
 // behind the statements, they got their replies after half a second, and those
 // proxies suspected the primary to have failed.
 TEST (Pooler, AtAHomeProbesOfProxiesNeedNoSlot)
 {
   BusyHome h (27);
-  Caller *probe = h.Send ({ 0, 0 }, STM_BEGIN);
+  Caller *probe = h.Send ({ 0, 0, 0 }, STM_BEGIN);
   h.w.Run (h.w.faults.round_trip_us + 1000);
   EXPECT_EQ (probe->last, "ok");
   ExpectNoBreach (h.w);
@@ -229,13 +269,13 @@
   // Three times what two slots can serve.
   for (int n = 0; n < 900; n++)
     {
-      h.waiting.push_back (h.Send ({ 34, 200 }, STM_READ));
+      h.waiting.push_back (h.Send ({ 34, 200, 0 }, STM_READ));
       h.w.Run (3333);
     }
   // The BEGIN of another proxy carries no request id; it is logged as "-".
   struct stm anonymous = {};
   anonymous.kind = STM_BEGIN;
-  anonymous.urgency = { 40, 1 };
+  anonymous.urgency = { 40, 1, 0 };
   h.w.log_lines.clear ();
   h.w.log.limits[EV_OVERLOAD].written = 0;
   for (int n = 0; n < 5; n++)
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -182,11 +182,12 @@
   struct stm read = {};
   read.kind = STM_READ;
   read.args = "1a4";
-  read.urgency = { 18, 250 };
+  read.urgency = { 18, 250, 0x5f3 };
   GString *out = g_string_new (NULL);
   lin_codec ()->ops->write_statement (lin_codec (), out, true, { 3, 1207 },
                                       &read);
-  EXPECT_STREQ (out->str, "QUERY - WITHIN 250 18 AFTER 3.1207 READ 1a4\r\n");
+  EXPECT_STREQ (out->str,
+                "QUERY - WITHIN 250 18:5f3 AFTER 3.1207 READ 1a4\r\n");
   struct codec_caller m;
   lin_codec ()->ops->read_relay (lin_codec (), out->str, out->len - 2, &m);
   g_string_free (out, TRUE);
@@ -196,13 +197,16 @@
     enum stm_kind kind;
     uint32_t max_wait_ms;
     uint32_t rank;
+    uint32_t kind_id;
   } cases[] = {
-    { "QUERY - WITHIN 250 18 AFTER 3.1 READ 1a4", STM_READ, 250, 18 },
-    { "QUERY - WITHIN 0 0 BEGIN", STM_BEGIN, 0, 0 },
-    { "QUERY - BEGIN", STM_BEGIN, 0, 0 },
-    { "QUERY - WITHIN 250", STM_MALFORMED, 0, 0 },
-    { "QUERY - WITHIN 250 18", STM_MALFORMED, 250, 18 },
-    { "QUERY - WITHIN", STM_MALFORMED, 0, 0 },
+    { "QUERY - WITHIN 250 18:5f3 READ 1a4", STM_READ, 250, 18, 0x5f3 },
+    { "QUERY - WITHIN 250 18: READ 1a4", STM_READ, 250, 18, 0 },
+    { "QUERY - WITHIN 250 18 AFTER 3.1 READ 1a4", STM_READ, 250, 18, 0 },
+    { "QUERY - WITHIN 0 0 BEGIN", STM_BEGIN, 0, 0, 0 },
+    { "QUERY - BEGIN", STM_BEGIN, 0, 0, 0 },
+    { "QUERY - WITHIN 250", STM_MALFORMED, 0, 0, 0 },
+    { "QUERY - WITHIN 250 18", STM_MALFORMED, 250, 18, 0 },
+    { "QUERY - WITHIN", STM_MALFORMED, 0, 0, 0 },
   };
   for (const auto &c : cases)
     {
@@ -211,6 +215,7 @@
       EXPECT_EQ (m.statement.kind, c.kind) << c.line;
       EXPECT_EQ (m.statement.urgency.max_wait_ms, c.max_wait_ms) << c.line;
       EXPECT_EQ (m.statement.urgency.rank, c.rank) << c.line;
+      EXPECT_EQ (m.statement.urgency.kind, c.kind_id) << c.line;
     }
 }
 
@@ -530,8 +535,8 @@
     { 16, 1, { 1, true, false, 0, {} }, 16, 16, 9 },
     { 1, 1, { 1, true, false, 0, {} }, 1, 2, 9 },
     { 0, 0, { 1, true, false, 0, {} }, 1, 2, 9 },
-    { 32, 59, { 1, false, true, 4, {} }, 4, 4, 3 },
-    { 16, 59, { 1, false, true, 2, {} }, 4, 4, 4 },
+    { 32, 59, { 1, false, true, 4, {} }, 4, 6, 3 },
+    { 16, 59, { 1, false, true, 2, {} }, 4, 6, 4 },
     { 32, 59, { 1, false, false, 4, {} }, 1, 8, SVC_RUNNING_UNLIMITED },
   };
   struct dir_instance entry = {};
@@ -545,6 +550,11 @@
       EXPECT_EQ (l.max_running, c.running) << c.max << " " << c.vms;
       EXPECT_EQ (l.fair_share, c.share) << c.max << " " << c.vms;
       EXPECT_EQ (l.max_links, c.most) << c.max << " " << c.vms;
+      // A quarter is left to the homes that take over after a power loss.
+      if (c.homes.includes_own)
+        {
+          EXPECT_LE (c.homes.n * l.max_links * 4, (uint32_t)c.max * 3);
+        }
     }
 }
 
