--- a/packages/core/overload.c
+++ b/packages/core/overload.c
@@ -15,6 +15,10 @@
    own queue.  A transaction waits for several statements.  */
 #define MAX_WAIT_PERCENT 75
 #define MAX_WAIT_TRANSACTION_PERCENT 50
+/* A new statement is admitted if the wait to be expected is at most one part
+   in this many of its wait budget.  The rest allows for variation, and a
+   caller that is refused soon can come again in time.  */
+#define ADMIT_ONE_IN 3
 /* A queue is paused when no statement has left it for PAUSE_GAPS of its usual
    gaps plus PAUSE_US, which is longer than the longest usual statement.  */
 #define PAUSE_GAPS 8
@@ -125,6 +129,7 @@
 ovl_note_start (struct ovl_throughput *t, uint32_t rank, uint32_t n_waiting,
                 int64_t now_us)
 {
+  t->recent_ranks[t->n_starts++ % OVL_RECENT_MAX] = rank;
   if (rank >= t->starved_rank)
     t->starved_rank = 0;
   if (is_paused (t, now_us))
@@ -159,6 +164,21 @@
          && q->rank >= q->throughput->starved_rank && q->oldest_wait_us > 0;
 }
 
+/* How long a new statement will wait: until those ahead of it have started,
+   and those of lower ranks that arrive meanwhile, which take the same part of
+   the starts as of late.  */
+static int64_t
+expected_wait_us (const struct ovl_queue *q)
+{
+  const struct ovl_throughput *t = q->throughput;
+  uint32_t n_recent = MIN (t->n_starts, OVL_RECENT_MAX);
+  uint32_t n_lower = 0;
+
+  for (uint32_t i = 0; i < n_recent; i++)
+    n_lower += t->recent_ranks[i] < q->rank ? 1 : 0;
+  return q->n_ahead * t->gap_us * (n_recent + 1) / (n_recent + 1 - n_lower);
+}
+
 bool
 ovl_should_shed (const struct ovl_queue *q, int64_t max_wait_us,
                  int64_t waited_us, int64_t now_us)
@@ -171,9 +191,6 @@
     return false;
   if (left_us <= 0)
     return true;
-  /* An earlier statement of the same rank that has waited for half of the wait
-     budget shows that a new one would not be served in time either.  */
   return q->is_new
-         && (is_starved (q) || q->n_ahead * q->throughput->gap_us > left_us
-             || q->oldest_wait_us > max_wait_us / 2);
+         && (is_starved (q) || expected_wait_us (q) > left_us / ADMIT_ONE_IN);
 }
--- a/packages/core/overload.h
+++ b/packages/core/overload.h
@@ -64,6 +64,9 @@
    outage: it then goes after all that can still be in time.  */
 #define OVL_OVERDUE_RANK (1U << 16)
 
+/* Number of starts whose ranks are remembered.  */
+#define OVL_RECENT_MAX 32
+
 /* How fast statements leave one queue.  */
 struct ovl_throughput
 {
@@ -75,10 +78,12 @@
   bool backlog;             /* statements stayed behind at the last start, or
                                were refused */
   int64_t last_refused_us;  /* 0 = never */
-  uint32_t starved_rank;    /* the lowest rank refused after waiting, 0 = none.
-                               Until a statement of that rank or a later one
-                               starts, at most one statement of each such rank
-                               waits, to detect when the starvation ends.  */
+  uint32_t n_starts;
+  uint32_t recent_ranks[OVL_RECENT_MAX]; /* of the last starts, as a ring */
+  uint32_t starved_rank; /* the lowest rank refused after waiting, 0 = none.
+                            Until a statement of that rank or a later one
+                            starts, at most one statement of each such rank
+                            waits, to detect when the starvation ends.  */
 };
 
 /* A statement of RANK leaves the queue to run; N_WAITING stay behind.  */
