--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -8,7 +8,8 @@
    time may be a full listen backlog.  */
 #define REFUSED_MIN_US 250000
 /* Longest time without a confirmed primary while the last one reports that it
-   is not primary: a promotion under way becomes visible sooner.  */
+   is not primary, or has no entry any more: a promotion under way becomes
+   visible sooner.  */
 #define NO_PRIMARY_US 1200000
 /* The same when no primary has been seen since the start.  */
 #define NO_PRIMARY_AT_START_US 2500000
@@ -255,6 +256,17 @@
   return e;
 }
 
+/* Returns true if the primary's entry is gone and this proxy does not reach it
+   either: no connection opens, probes get no reply, or no leadership check has
+   succeeded for longer than a promotion takes.  */
+static bool
+is_lapsed_and_missed (const struct sfo_evidence *e)
+{
+  return e->lapsed
+         && (e->unresponsive || e->refused_for_us > 0
+             || (!e->confirmed && e->no_primary_for_us > NO_PRIMARY_US));
+}
+
 enum sfo_decision
 sfo_evaluate (const struct sfo_evidence *e)
 {
@@ -263,8 +275,7 @@
   if (!e->known)
     return e->no_primary_for_us > NO_PRIMARY_AT_START_US ? SFO_REPLACE
                                                          : SFO_KEEP;
-  if (e->draining || !e->registered
-      || (e->lapsed && (e->unresponsive || e->refused_for_us > 0)))
+  if (e->draining || !e->registered || is_lapsed_and_missed (e))
     return SFO_REPLACE;
   if (e->unresponsive || e->refused_for_us > REFUSED_MIN_US)
     return SFO_POLL_PEERS;
@@ -286,7 +297,7 @@
     return "unresponsive";
   if (e->refused_for_us > REFUSED_MIN_US)
     return "refused";
-  return "denied";
+  return e->lapsed ? "lapsed" : "denied";
 }
 
 bool
