--- a/tests/unit/overload_test.cc
+++ b/tests/unit/overload_test.cc
@@ -407,6 +407,8 @@
       false },
     { "a queue that takes over a third of the budget", true, 11, 10000, 50000,
       300000, 0, 0, 1500000, 0, 0, true },
+    { "a long queue", true, 31, 10000, 50000, 300000, 0, 0, 1500000, 0, 0,
+      true },
     { "a long queue that was empty a moment ago", true, 31, 10000, 50000,
       300000, 0, 0, 900000, 0, 0, false },
     { "half of the starts go to lower ranks", true, 5, 10000, 50000, 300000, 0,
