review: stand-ins with replication, promotion and partitions

For the cases on failover: replicas that lag or receive nothing, a primary that crashes, promotions that take effect later, a store that doesn't answer one proxy, and clients for the cases that end with a final fault.

--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -29,7 +29,12 @@
 #define COMMITS_MAX 8192
 #define INSTANCES_MAX 4
 #define PROXIES_MAX 16
+#define CONNECTIONS_MAX 512
+#define FIRST_COMMIT 100
 #define REPLICA_LAG_MS 20
+#define PROMOTE_MS 600
+/* A page of a listing ends with the item that exceeds it.  */
+#define PAGE_MAX_BYTES 1000000
 #define LINE_MAX_BYTES (1024 * 1024 + 16)
 
 struct item
@@ -61,6 +66,20 @@
   int fd;
   uint16_t port;
   bool primary;
+  bool crashed;
+  bool deaf;
+  int lag_ms;
+  int received; /* commits in its log */
+  int busy;     /* slots in use */
+  int fds[CONNECTIONS_MAX];
+  int n_fds;
+};
+
+struct commit
+{
+  char id[ST_ID_MAX];
+  int64_t at_ms;
+  bool acknowledged;
 };
 
 struct run
@@ -77,18 +96,27 @@
 static int net_a;
 static int net_b;
 static uint16_t base_port;
-static uint16_t store_port;
+static uint16_t store_ports[PROXIES_MAX]; /* one for each proxy */
+static bool is_cut[PROXIES_MAX];
+static uint16_t cloud_port;
+static int n_lower_tokens;
+static int claim_holder = -1;
+static int64_t claim_revision;
 static struct st_options o;
 static struct item items[ITEMS_MAX];
 static struct event events[EVENTS_MAX];
 static int n_events;
+static int64_t history_from; /* changes up to it are forgotten */
+static const char *extra_host;
 static int64_t revision = 10;
 static struct lease leases[ITEMS_MAX];
 static int n_leases;
 static struct instance instances[INSTANCES_MAX];
 static int term = 3;
-static int64_t commit_ms[COMMITS_MAX];
-static int n_commits = 100;
+static struct commit commits[COMMITS_MAX];
+static int n_commits = FIRST_COMMIT;
+static int n_lost;
+static pthread_cond_t slot_freed = PTHREAD_COND_INITIALIZER;
 static uint64_t last_fence;
 static struct run runs[RUNS_MAX];
 static int n_runs;
@@ -161,6 +189,16 @@
   st_finish (ST_NOT_RUN);
 }
 
+static void
+start_thread (void *(*run) (void *), void *arg)
+{
+  pthread_t thread;
+
+  if (pthread_create (&thread, NULL, run, arg) != 0)
+    give_up ("thread");
+  pthread_detach (thread);
+}
+
 /* Listens on 127.0.0.1; returns the port in PORT.  */
 static int
 listen_loopback (uint16_t *port)
@@ -351,6 +389,30 @@
   free (value);
 }
 
+void
+st_put_foreign (const char *key, int bytes)
+{
+  char *text = malloc ((size_t)bytes + 1);
+
+  memset (text, '?', (size_t)bytes);
+  text[bytes] = '\0';
+  put (key, text);
+  free (text);
+  st_record ("another writer: writes \"%s\", %d bytes", key, bytes);
+}
+
+void
+st_compact (void)
+{
+  pthread_mutex_lock (&lock);
+  revision++;
+  history_from = revision;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+  st_record ("store: forgets its history up to revision %ld",
+             (long)history_from);
+}
+
 static json_t *
 item_json (const struct item *i)
 {
@@ -371,17 +433,22 @@
 {
   struct item *found[ITEMS_MAX];
   json_t *array = json_array ();
+  size_t bytes = 0;
   int n = 0;
+  int listed = 0;
 
   for (int i = 0; i < ITEMS_MAX; i++)
     if (items[i].value && strncmp (items[i].key, prefix, strlen (prefix)) == 0
         && strcmp (items[i].key, after) > 0)
       found[n++] = &items[i];
   qsort (found, (size_t)n, sizeof found[0], compare_items);
-  for (int i = 0; i < n; i++)
-    json_array_append_new (array, item_json (found[i]));
-  return json_pack ("{s:o,s:b,s:I}", "items", array, "hasMore", 0, "atRev",
-                    (json_int_t)revision);
+  while (listed < n && bytes < PAGE_MAX_BYTES)
+    {
+      bytes += strlen (found[listed]->value);
+      json_array_append_new (array, item_json (found[listed++]));
+    }
+  return json_pack ("{s:o,s:b,s:I}", "items", array, "hasMore", listed < n,
+                    "atRev", (json_int_t)revision);
 }
 
 static json_t *
@@ -420,6 +487,12 @@
     {
       struct timespec ts;
 
+      if (after < history_from)
+        {
+          json_decref (found);
+          return NULL;
+        }
+
       clock_gettime (CLOCK_REALTIME, &ts);
       ts.tv_nsec += 50000000;
       if (ts.tv_nsec >= 1000000000)
@@ -443,6 +516,82 @@
   return text ? text : "";
 }
 
+/* Decodes the base64 text VALUE, and returns the number of the proxy that a
+   claim names, -1 if it names none.  */
+static int
+decode_holder (const char *value)
+{
+  char text[512];
+  size_t len = 0;
+  uint32_t bits = 0;
+  int n_bits = 0;
+  int n = -1;
+  const char *at;
+
+  for (; *value && *value != '=' && len + 1 < sizeof text; value++)
+    {
+      uint32_t digit = *value >= 'A' && *value <= 'Z'   ? *value - 'A'
+                       : *value >= 'a' && *value <= 'z' ? *value - 'a' + 26
+                       : *value >= '0' && *value <= '9' ? *value - '0' + 52
+                       : *value == '+'                  ? 62
+                                                        : 63;
+
+      bits = bits << 6 | digit;
+      n_bits += 6;
+      if (n_bits >= 8)
+        text[len++] = (char)(bits >> (n_bits -= 8));
+    }
+  text[len] = '\0';
+  at = strstr (text, "\"edge-z0-");
+  if (at)
+    n = atoi (at + 9) - 1;
+  return n;
+}
+
+static void
+note_claim (const char *key, const char *value)
+{
+  if (!strstr (key, "/claim/"))
+    return;
+  claim_holder = decode_holder (value);
+  claim_revision = revision;
+  st_record ("store: proxy %d takes the claim, revision %ld", claim_holder,
+             (long)revision);
+}
+
+int
+st_claim_holder (int64_t *revision_out)
+{
+  int n;
+
+  pthread_mutex_lock (&lock);
+  n = claim_holder;
+  *revision_out = claim_revision;
+  pthread_mutex_unlock (&lock);
+  return n;
+}
+
+void
+st_cut_store (int n)
+{
+  pthread_mutex_lock (&lock);
+  is_cut[n] = true;
+  pthread_cond_broadcast (&changed);
+  pthread_mutex_unlock (&lock);
+  st_record ("proxy %d: partitioned from the store", n);
+}
+
+int
+st_count_lower_tokens (void)
+{
+  int n;
+
+  pthread_mutex_lock (&lock);
+  n = n_lower_tokens;
+  pthread_mutex_unlock (&lock);
+  return n;
+}
+
 static int
 run_txn (json_t *body, json_t **reply)
 {
@@ -478,8 +627,11 @@
   json_decref (current);
   revision++;
   json_array_foreach (json_object_get (body, "writes"), n, row)
-    set_item (text_of (row, "key"), text_of (row, "value"),
-              json_integer_value (json_object_get (row, "leaseId")));
+    {
+      set_item (text_of (row, "key"), text_of (row, "value"),
+                json_integer_value (json_object_get (row, "leaseId")));
+      note_claim (text_of (row, "key"), text_of (row, "value"));
+    }
   json_array_foreach (json_object_get (body, "remove"), n, row)
     remove_item (json_string_value (row) ? json_string_value (row) : "");
   pthread_cond_broadcast (&changed);
@@ -487,23 +639,102 @@
   return 200;
 }
 
+/* Writes the entry of instance N, with LOCK held.  */
+static void
+set_entry (int n)
+{
+  char key[128];
+  char text[512];
+  char *value;
+
+  snprintf (key, sizeof key, "servers/%s", instances[n].id);
+  snprintf (text, sizeof text,
+            "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z0\","
+            "\"version\":\"1\",\"slots\":%d,\"state\":\"ready\","
+            "\"coldLeftMs\":0,\"seq\":1,\"born\":%d,\"dbRole\":\"%s\"}",
+            o.service, instances[n].port, o.slots, 1000 + n,
+            instances[n].primary ? "primary" : "replica");
+  value = encode (text);
+  revision++;
+  set_item (key, value, 0);
+  free (value);
+}
+
+/* Instance N leads with what it has received, and nothing more.  */
+static void
+promote (int n)
+{
+  int length = instances[n].received;
+  int lost = 0;
+
+  for (int k = length; k < n_commits; k++)
+    if (commits[k].acknowledged)
+      {
+        lost++;
+        st_record ("the promoted instance %s lacks %s, which was "
+                   "acknowledged",
+                   instances[n].id, commits[k].id);
+      }
+  n_lost += lost;
+  n_commits = length;
+  term++;
+  for (int k = 0; k < o.instances; k++)
+    {
+      instances[k].primary = k == n;
+      if (instances[k].received > length)
+        instances[k].received = length;
+      if (!instances[k].crashed)
+        set_entry (k);
+    }
+  pthread_cond_broadcast (&changed);
+}
+
+/* Carries out the promotion of an instance after the usual time.  */
+static void *
+finish_promotion (void *arg)
+{
+  int n = (int)(intptr_t)arg;
+
+  usleep (PROMOTE_MS * 1000);
+  pthread_mutex_lock (&lock);
+  if (!instances[n].primary && !instances[n].crashed)
+    {
+      promote (n);
+      st_record ("platform: instance %s leads term %d", instances[n].id, term);
+    }
+  pthread_mutex_unlock (&lock);
+  return NULL;
+}
+
 static int
-run_promote (json_t *body, uint64_t fence)
+run_promote (json_t *body, const char *holder, uint64_t fence)
 {
   const char *id = text_of (body, "id");
 
-  st_record ("platform: promote %s with token %lu", id, (unsigned long)fence);
+  st_record ("platform: %s promotes %s with token %lu, the highest seen is "
+             "%lu",
+             holder, id, (unsigned long)fence, (unsigned long)last_fence);
   if (fence < last_fence)
-    return 409;
-  last_fence = fence;
+    {
+      n_lower_tokens++;
+      if (!o.ignores_fences)
+        return 409;
+    }
+  else
+    last_fence = fence;
   for (int n = 0; n < o.instances; n++)
-    if (strcmp (instances[n].id, id) == 0 && !instances[n].primary)
-      {
-        for (int k = 0; k < o.instances; k++)
-          instances[k].primary = k == n;
-        term++;
-      }
-  return 200;
+    {
+      struct instance *i = &instances[n];
+
+      if (strcmp (i->id, id) != 0)
+        continue;
+      if (i->crashed)
+        return 409;
+      if (!i->primary)
+        start_thread (finish_promotion, (void *)(intptr_t)n);
+      return 200;
+    }
+  return 409;
 }
 
 /* One HTTP request: its line, body and fencing token.  */
@@ -512,6 +743,7 @@
   char method[16];
   char path[1024];
   json_t *body;
+  char holder[64];
   uint64_t fence;
 };
 
@@ -567,8 +799,10 @@
   if (strncmp (r->path, "/kv-watch", 9) != 0)
     return 404;
   query_field (r->path, "waitMs", wait, sizeof wait);
+  if (atoll (after) < history_from)
+    return 410;
   *reply = watch (key, atoll (after), atoll (wait));
-  return 200;
+  return *reply ? 200 : 410;
 }
 
 static int
@@ -579,7 +813,7 @@
   if (strcmp (r->path, "/kv-txn") == 0)
     return run_txn (r->body, reply);
   if (strcmp (r->path, "/promote") == 0)
-    return run_promote (r->body, r->fence);
+    return run_promote (r->body, r->holder, r->fence);
   if (strcmp (r->path, "/kv-lease") == 0 && n_leases < ITEMS_MAX)
     {
       l = &leases[n_leases++];
@@ -657,14 +891,34 @@
   field = strcasestr (buffer, "\r\nX-Fencing-Token:");
   if (field && field < end)
     r->fence = strtoull (field + 18, NULL, 10);
+  field = strcasestr (buffer, "\r\nX-Duty-Holder:");
+  if (field && field < end)
+    sscanf (field + 16, " %63[^\r]", r->holder);
   r->body = json_loadb (end + 4, body, 0, NULL);
   return true;
 }
 
+/* True while the store, but not the platform's own calls, is out of reach of
+   PROXY.  */
+static bool
+is_partitioned (int proxy)
+{
+  return proxy >= 0 && is_cut[proxy];
+}
+
+/* A connection and the number of its listener.  */
+struct accepted
+{
+  int fd;
+  int index;
+};
+
 static void *
 serve_http (void *arg)
 {
-  int fd = (int)(intptr_t)arg;
+  struct accepted *c = arg;
+  int fd = c->fd;
+  int proxy = c->index;
   size_t size = 4 * 1024 * 1024;
   char *buffer = malloc (size);
   struct request r;
@@ -678,8 +932,13 @@
       bool sent;
 
       pthread_mutex_lock (&lock);
+      while (is_partitioned (proxy))
+        pthread_cond_wait (&changed, &lock);
       status = strcmp (r.method, "GET") == 0 ? serve_read (&r, &reply)
                                              : serve_write (&r, &reply);
+      /* The answer is lost if the partition began meanwhile.  */
+      while (is_partitioned (proxy))
+        pthread_cond_wait (&changed, &lock);
       pthread_mutex_unlock (&lock);
       text = reply ? json_dumps (reply, JSON_COMPACT) : strdup ("{}");
       snprintf (head, sizeof head,
@@ -695,6 +954,7 @@
         break;
     }
   free (buffer);
+  free (c);
   close (fd);
   return NULL;
 }
@@ -706,12 +966,6 @@
   int index;
 };
 
-struct instance_conn
-{
-  int fd;
-  int index;
-};
-
 static void *
 accept_all (void *arg)
 {
@@ -721,33 +975,23 @@
     {
       int on = 1;
       int fd = accept4 (l->fd, NULL, NULL, SOCK_CLOEXEC);
-      struct instance_conn *c;
+      struct accepted *c;
       pthread_t thread;
 
+      if (fd < 0 && (errno == EBADF || errno == EINVAL))
+        return NULL;
       if (fd < 0)
         continue;
       setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       c = calloc (1, sizeof *c);
       c->fd = fd;
       c->index = l->index;
-      if (pthread_create (&thread, NULL, l->serve,
-                          l->serve == serve_http ? (void *)(intptr_t)fd : c)
-          == 0)
+      if (pthread_create (&thread, NULL, l->serve, c) == 0)
         pthread_detach (thread);
     }
   return NULL;
 }
 
-static void
-start_thread (void *(*run) (void *), void *arg)
-{
-  pthread_t thread;
-
-  if (pthread_create (&thread, NULL, run, arg) != 0)
-    give_up ("thread");
-  pthread_detach (thread);
-}
-
 static void
 start_listener (int fd, void *(*serve) (void *), int index)
 {
@@ -781,9 +1025,10 @@
 applied (const struct instance *i)
 {
   int64_t now_ms = st_now_ms ();
-  int n = n_commits;
+  int n = i->received;
 
-  while (!i->primary && n > 0 && commit_ms[n - 1] + REPLICA_LAG_MS > now_ms)
+  while (!i->primary && n > FIRST_COMMIT
+         && commits[n - 1].at_ms + i->lag_ms > now_ms)
     n--;
   return n;
 }
@@ -815,11 +1060,84 @@
   return write_all (s->fd, "COMPLETE -\r\n", 12) && send_ready (s);
 }
 
-static void
-commit (int n)
+/* Commits N writes of statement ID at the primary, with LOCK held.  Returns
+   false if the service needs a replica that has received it and none has.  */
+static bool
+commit (const char *id, int n)
 {
+  bool received = o.sync_replicas == 0;
+
   while (n-- > 0 && n_commits < COMMITS_MAX)
-    commit_ms[n_commits++] = st_now_ms ();
+    {
+      struct commit *c = &commits[n_commits++];
+
+      snprintf (c->id, sizeof c->id, "%s", id);
+      c->at_ms = st_now_ms ();
+      c->acknowledged = false;
+    }
+  for (int k = 0; k < o.instances; k++)
+    if (instances[k].primary
+        || (!instances[k].deaf && !instances[k].crashed))
+      {
+        instances[k].received = n_commits;
+        received |= !instances[k].primary;
+      }
+  return received;
+}
+
+void
+st_note_acknowledged (const char *id)
+{
+  pthread_mutex_lock (&lock);
+  for (int n = FIRST_COMMIT; n < n_commits; n++)
+    if (strcmp (commits[n].id, id) == 0)
+      commits[n].acknowledged = true;
+  pthread_mutex_unlock (&lock);
+}
+
+int
+st_count_lost_commits (void)
+{
+  int lost;
+
+  pthread_mutex_lock (&lock);
+  lost = n_lost;
+  pthread_mutex_unlock (&lock);
+  return lost;
+}
+
+void
+st_set_deaf (int n)
+{
+  pthread_mutex_lock (&lock);
+  instances[n].deaf = true;
+  pthread_mutex_unlock (&lock);
+  st_record ("instance %s: receives nothing from now on", instances[n].id);
+}
+
+void
+st_set_lag (int n, int lag_ms)
+{
+  pthread_mutex_lock (&lock);
+  instances[n].lag_ms = lag_ms;
+  pthread_mutex_unlock (&lock);
+  st_record ("instance %s: applies %d ms late from now on", instances[n].id,
+             lag_ms);
+}
+
+void
+st_crash_instance (int n)
+{
+  struct instance *i = &instances[n];
+
+  pthread_mutex_lock (&lock);
+  i->crashed = true;
+  shutdown (i->fd, SHUT_RDWR);
+  close (i->fd);
+  for (int k = 0; k < i->n_fds; k++)
+    shutdown (i->fds[k], SHUT_RDWR);
+  pthread_mutex_unlock (&lock);
+  st_record ("instance %s: crashes", i->id);
 }
 
 static bool
@@ -840,10 +1158,12 @@
 /* Runs TEXT, a read, write or commit of a client, with LOCK held.  Returns an
    error code, NULL if it ran.  */
 static const char *
-run_work (struct session *s, const char *text)
+run_work (struct session *s, const char *id, const char *text)
 {
   bool writes = is_write (s, text);
 
+  if (s->instance->crashed)
+    return "FAILED";
   if (!s->instance->primary
       && (writes
           || (s->state == 'T' && s->plain
@@ -851,14 +1171,14 @@
     return "READONLY";
   if (strcmp (text, "COMMIT") == 0)
     {
-      commit (s->n_writes);
+      commit (id, s->n_writes);
       s->state = 'I';
       s->n_writes = 0;
     }
   else if (writes && s->state == 'T')
     s->n_writes++;
   else if (writes)
-    commit (1);
+    commit (id, 1);
   return NULL;
 }
 
@@ -886,10 +1206,15 @@
   pthread_mutex_lock (&lock);
   if (o.plan)
     o.plan (s->instance->id, id, text, &plan);
+  while (s->instance->busy >= o.slots)
+    pthread_cond_wait (&slot_freed, &lock);
+  s->instance->busy++;
   pthread_mutex_unlock (&lock);
   usleep ((useconds_t)plan.work_ms * 1000);
   pthread_mutex_lock (&lock);
-  code = run_work (s, text);
+  s->instance->busy--;
+  pthread_cond_broadcast (&slot_freed);
+  code = run_work (s, id, text);
   if (!code)
     note_run (s->instance->id, id, text);
   pthread_mutex_unlock (&lock);
@@ -930,9 +1255,15 @@
 {
   char row[128];
 
-  snprintf (row, sizeof row, "DATAROW %s %d %d.%d 0 12 0 1\r\n",
+  st_record ("instance %s: STATUS, %d of %d slots in use, %d received, "
+             "%d applied",
+             s->instance->id, s->instance->busy, o.slots,
+             s->instance->received, applied (s->instance));
+  if (s->instance->busy >= o.slots)
+    return send_error (s, "BUSY");
+  snprintf (row, sizeof row, "DATAROW %s %d %d.%d 0 12 %d %d\r\n",
             s->instance->primary ? "primary" : "replica", term, term,
-            n_commits);
+            s->instance->received, s->instance->busy, s->instance->n_fds);
   return write_all (s->fd, row, strlen (row)) && send_ok (s);
 }
 
@@ -1023,7 +1354,7 @@
 static void *
 serve_instance (void *arg)
 {
-  struct instance_conn *c = arg;
+  struct accepted *c = arg;
   struct session s
       = { .fd = c->fd, .instance = &instances[c->index], .state = 'I' };
   char *buffer = malloc (LINE_MAX_BYTES);
@@ -1032,6 +1363,12 @@
   bool good = true;
 
   free (c);
+  pthread_mutex_lock (&lock);
+  if (s.instance->crashed || s.instance->n_fds == CONNECTIONS_MAX)
+    good = false;
+  else
+    s.instance->fds[s.instance->n_fds++] = s.fd;
+  pthread_mutex_unlock (&lock);
   while (good)
     {
       /* A line ends with CR LF.  */
@@ -1056,24 +1393,19 @@
       len += (size_t)n;
     }
   free (buffer);
+  pthread_mutex_lock (&lock);
+  for (int k = 0; k < s.instance->n_fds; k++)
+    if (s.instance->fds[k] == s.fd)
+      s.instance->fds[k--] = s.instance->fds[--s.instance->n_fds];
+  pthread_mutex_unlock (&lock);
   close (s.fd);
   return NULL;
 }
 
-static void
-put_entry (int n)
+void
+st_add_route (const char *host)
 {
-  char key[128];
-  char value[512];
-
-  snprintf (key, sizeof key, "servers/%s", instances[n].id);
-  snprintf (value, sizeof value,
-            "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z0\","
-            "\"version\":\"1\",\"slots\":%d,\"state\":\"ready\","
-            "\"coldLeftMs\":0,\"seq\":1,\"born\":%d,\"dbRole\":\"%s\"}",
-            o.service, instances[n].port, o.slots, 1000 + n,
-            instances[n].primary ? "primary" : "replica");
-  put (key, value);
+  extra_host = host;
 }
 
 void
@@ -1081,17 +1413,24 @@
 {
   static int version = 4;
   char value[2048];
+  char extra[512] = "";
 
   version += 3;
+  if (extra_host)
+    snprintf (extra, sizeof extra,
+              ",{\"name\":\"r1\",\"host\":\"%s\",\"service\":\"%s\","
+              "\"type\":\"%s\",\"timeoutMs\":%d,\"latencySloMs\":%d,"
+              "\"priority\":1,\"maxStalenessMs\":1500}",
+              extra_host, o.service, o.type, o.timeout_ms, o.objective_ms);
 
   snprintf (value, sizeof value,
             "{\"version\":%d,\"services\":[{\"name\":\"%s\",\"maxConns\":%d,"
-            "\"syncReplicas\":0}],\"routes\":[{\"name\":\"r0\",\"host\":"
+            "\"syncReplicas\":%d}],\"routes\":[{\"name\":\"r0\",\"host\":"
             "\"%s\",\"service\":\"%s\",\"type\":\"%s\",\"timeoutMs\":%d,"
-            "\"latencySloMs\":%d,\"priority\":1,\"maxStalenessMs\":1500}],"
+            "\"latencySloMs\":%d,\"priority\":1,\"maxStalenessMs\":1500}%s],"
             "\"limits\":{\"txIdleMs\":10000}}",
-            version, o.service, o.max_conns, o.host, o.service, o.type,
-            o.timeout_ms, o.objective_ms);
+            version, o.service, o.max_conns, o.sync_replicas, o.host, o.service, o.type,
+            o.timeout_ms, o.objective_ms, extra);
   put ("op/config", value);
   st_record ("operator: version %d is acknowledged", version);
 }
@@ -1104,8 +1443,13 @@
   o = *options;
   if (access (PROGRAM, X_OK) != 0)
     give_up (PROGRAM);
-  fd = listen_loopback (&store_port);
-  start_listener (fd, serve_http, 0);
+  fd = listen_loopback (&cloud_port);
+  start_listener (fd, serve_http, -1);
+  for (int n = 0; n < PROXIES_MAX; n++)
+    {
+      fd = listen_loopback (&store_ports[n]);
+      start_listener (fd, serve_http, n);
+    }
   start_thread (run_leases, NULL);
   for (int n = 0; n < o.instances; n++)
     {
@@ -1114,8 +1458,12 @@
       snprintf (i->id, sizeof i->id, "i-%04x", 0x7f3a + n);
       i->primary = n == 0;
       i->fd = listen_loopback (&i->port);
+      i->received = n_commits;
+      i->lag_ms = REPLICA_LAG_MS;
       start_listener (i->fd, serve_instance, n);
-      put_entry (n);
+      pthread_mutex_lock (&lock);
+      set_entry (n);
+      pthread_mutex_unlock (&lock);
     }
   st_change_config ();
 }
@@ -1165,13 +1513,14 @@
            "heartbeatMs: 1200\n"
            "bounds:\n  contactMs: 4000\n  drainMs: 7000\n  graceS: %s\n"
            "  lossSlackMs: 200\n  configApplyMs: 3000\n"
-           "  downgradeMs: 250\n  requireFence: true\n"
+           "  downgradeMs: 250\n  requireFence: %s\n"
            "platform:\n  address: \"127.0.0.1:%u\"\n  form: \"kv\"\n"
            "  writesPerS: 400\n  readsPerS: 2000\n  historyS: 20\n"
            "  maxValueBytes: 1048576\n  minTtlMs: 1000\n"
            "cloudApi:\n  address: \"127.0.0.1:%u\"\n  dutyPerS: 50.0\n",
            n + 1, ip, ip, base_port, ip, base_port + 1, base_port + 2,
-           base_port + 3, grace[n] ? grace[n] : "6", store_port, store_port);
+           base_port + 3, grace[n] ? grace[n] : "6",
+           o.ignores_fences ? "false" : "true", store_ports[n], cloud_port);
   fclose (f);
 }
 
@@ -1326,6 +1675,28 @@
 
 /* Clients.  */
 
+bool
+st_can_start (int n, const char *host, char *what, size_t size)
+{
+  struct st_client c = { 0 };
+  char ip[32];
+  char line[128];
+  struct st_answer a = { 0 };
+
+  proxy_ip (n, ip, sizeof ip);
+  c.fd = connect_to (ip, base_port, NULL);
+  if (c.fd < 0)
+    return false;
+  c.size = 65536;
+  c.in = malloc (c.size);
+  snprintf (line, sizeof line, "STARTUP %s u1\r\n", host);
+  st_send (&c, line, strlen (line));
+  st_answer (&c, st_now_ms () + 2000, &a);
+  snprintf (what, size, "%s", a.complete ? "READY" : a.end);
+  st_disconnect (&c);
+  return a.complete;
+}
+
 bool
 st_try_connect (struct st_client *c, int n, const struct st_link *link)
 {
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -56,13 +56,42 @@
   int slots;
   int instances; /* the first is the primary */
   st_plan_fn *plan;
+  int sync_replicas;
+  bool ignores_fences; /* requireFence is false */
 };
 
 /* Starts the store and the instances, and writes their entries and the first
    configuration.  */
 void st_start_platform (const struct st_options *options);
-/* Writes a newer configuration, which differs in its version only.  */
+/* The number of the proxy that took the newest claim, and its revision; -1
+   while there is none.  */
+int st_claim_holder (int64_t *claim_revision);
+/* The store doesn't answer proxy N any more, and takes nothing from it.  */
+void st_cut_store (int n);
+/* The number of promotion calls with a lower token than one seen before.  */
+int st_count_lower_tokens (void);
+/* Instance N receives no commits from now on.  */
+void st_set_deaf (int n);
+/* Instance N applies what it has received only LAG_MS later.  */
+void st_set_lag (int n, int lag_ms);
+/* Instance N crashes: it listens no more, and its connections end.  */
+void st_crash_instance (int n);
+/* The number of commits that a client was told of (see st_note_acknowledged)
+   and that were not in the log of an instance when it was promoted.  */
+int st_count_lost_commits (void);
+/* The client was told that the write ID is committed.  */
+void st_note_acknowledged (const char *id);
+/* Writes a newer configuration, which differs in its version, and in one more
+   route if a host was given to st_add_route.  */
 void st_change_config (void);
+void st_add_route (const char *host);
+/* Writes KEY with a value of BYTES bytes, as another writer would.  */
+void st_put_foreign (const char *key, int bytes);
+/* The store forgets its history.  */
+void st_compact (void);
+/* Returns whether proxy N starts a session for database HOST; WHAT holds the
+   answer.  */
+bool st_can_start (int n, const char *host, char *what, size_t size);
 /* Whether an instance has run statement ID; its text is stored in TEXT.  */
 bool st_has_run (const char *id, char *text, size_t size);
 
