--- a/review/3/case.c
+++ b/review/3/case.c
@@ -23,7 +23,7 @@
 main (int argc, char **argv)
 {
   const struct st_options options
-      = { "svc0", "db0", "primary", 3000, 1200, 55, 5, 3, plan };
+      = { "svc0", "db0", "primary", 3000, 1200, 55, 5, 3, plan, 0, false };
   struct st_client c;
   struct st_answer a;
   int64_t stop_ms;
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,52 +1,59 @@
-/* A client sends one message, a write whose data has a bare LF in it, followed
-   by what would be a message of its own.  Only CR LF ends a message.  The
-   instance must run the write with its data unchanged, or nothing.  */
-#include "stand.h"
+/* The settings files of all proxies change: graceS becomes 6.5.  Later a
+   configuration is acknowledged, all proxies are killed, and the platform
+   starts them again with the settings in effect.  */
+#include "load.h"
 
-#include <stdio.h>
-#include <string.h>
+#include <signal.h>
+
+#define PROXIES 2
+#define SESSIONS 8
+#define HUP_AT_MS 3000
+#define FAULT_AT_MS 8000
+#define DOWN_MS 1000
+#define RECOVERY_MS 12000
+#define MEASURE_MS 8000
+#define PAUSE_MS 200
+#define DEADLINE_MS 3000
 
 int
 main (int argc, char **argv)
 {
   const struct st_options options
-      = { "svc0", "db0", "primary", 800, 300, 16, 2, 3, NULL };
-  const char *data = st_trouble ()
-                         ? "lepu\nQUERY 00000000000000bb WRITE 2b5 paid"
-                         : "lepu QUERY 00000000000000bb WRITE 2b5 paid";
-  char line[256];
-  char sent[200];
-  char text[ST_TEXT_MAX];
-  struct st_client c;
-  struct st_answer a;
-  bool broken = false;
+      = { "svc0", "db0", "bounded_stale", 1500, 600, 16, 2, 3, NULL, 0, false };
+  int64_t start_ms;
+  int64_t back_ms;
+  int before;
+  int before_served;
+  int after;
+  int after_served;
 
   st_init (argc, argv);
   st_start_platform (&options);
-  st_start_proxy (0);
-  st_connect (&c, 0, NULL);
-  snprintf (sent, sizeof sent, "WRITE 1a4 %s", data);
-  snprintf (line, sizeof line, "QUERY 00000000000000aa %s\r\n", sent);
-  st_record ("client: sends one message of %zu bytes, id 00000000000000aa: "
-             "\"%s\"",
-             strlen (line), sent);
-  st_send (&c, line, strlen (line));
-  st_answer (&c, st_now_ms () + 3000, &a);
-  st_record ("client: first answer: %s \"%s\"",
-             a.complete ? "complete" : "none", a.end);
-  st_answer (&c, st_now_ms () + 1500, &a);
-  st_record ("client: second answer: %s \"%s\"",
-             a.complete ? "complete" : "none", a.end);
-  if (st_has_run ("00000000000000aa", text, sizeof text)
-      && strcmp (text, sent) != 0)
-    {
-      st_record ("00000000000000aa ran with changed text: \"%s\"", text);
-      broken = true;
-    }
-  if (st_has_run ("00000000000000bb", text, sizeof text))
+  for (int n = 0; n < PROXIES; n++)
+    st_start_proxy (n);
+  start_ms = st_now_ms ();
+  load_start (SESSIONS, PROXIES, PAUSE_MS, DEADLINE_MS);
+  st_sleep_until_ms (start_ms + HUP_AT_MS);
+  for (int n = 0; st_trouble () && n < PROXIES; n++)
     {
-      st_record ("00000000000000bb ran, which no client sent: \"%s\"", text);
-      broken = true;
+      st_set_grace (n, "6.5");
+      kill (st_proxy_pid (n), SIGHUP);
+      st_record ("proxy %d: SIGHUP", n);
     }
-  st_finish (broken ? ST_BROKEN : ST_HELD);
+  st_sleep_until_ms (start_ms + FAULT_AT_MS);
+  back_ms = load_kill_all (PROXIES, DOWN_MS,
+                           start_ms + FAULT_AT_MS + DOWN_MS + RECOVERY_MS
+                               + MEASURE_MS);
+  st_sleep_until_ms (back_ms + RECOVERY_MS + MEASURE_MS);
+  load_stop ();
+  before = load_count (start_ms, start_ms + FAULT_AT_MS - 500, &before_served);
+  after = load_count (back_ms + RECOVERY_MS, back_ms + RECOVERY_MS + MEASURE_MS,
+                      &after_served);
+  st_record ("before the fault %d of %d requests were served", before_served,
+             before);
+  st_record ("later than %d ms after the machines are back %d of %d were",
+             RECOVERY_MS, after_served, after);
+  if (before_served * 4 < before || after == 0)
+    st_finish (ST_NOT_RUN);
+  st_finish (after_served * 4 < after ? ST_BROKEN : ST_HELD);
 }
