--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,6 +1,6 @@
-/* A service with syncReplicas 1.  One replica applies late but receives all
-   commits, the other receives nothing for a while; then the primary crashes.
-   A few clients read and write all the time.  */
+/* A service with syncReplicas 1.  One replica receives nothing for 0.4 s,
+   while the other one receives all commits; then the primary crashes.  A few
+   clients read and write all the time.  */
 #include "stand.h"
 
 #include <pthread.h>
@@ -8,12 +8,11 @@
 #include <string.h>
 #include <unistd.h>
 
-#define READERS 6
-#define WRITERS 2
+#define PROXIES 3
+#define READERS 3
+#define WRITERS 6
 #define READ_MS 22
 #define WRITE_MS 5
-#define LAG_MS 1000
-#define LAG_AT_MS 3000
 #define DEAF_AT_MS 6000
 #define DEAF_FOR_MS 400
 #define END_AT_MS 14000
@@ -41,7 +40,7 @@
       struct st_client c;
       struct st_answer a = { .complete = true };
 
-      if (!st_try_connect (&c, 0, NULL))
+      if (!st_try_connect (&c, index % PROXIES))
         {
           usleep (100000);
           continue;
@@ -67,20 +66,19 @@
 int
 main (int argc, char **argv)
 {
-  const struct st_options options
-      = { "svc0", "db0", "bounded_stale", 1500, 600, 16, 2, 3, plan, 1, false };
+  const struct st_options options = {
+    "svc0", "db0", "bounded_stale", 1500, 600, 16, 2, 3, plan, 1, false
+  };
   pthread_t threads[READERS + WRITERS];
   int64_t start_ms;
 
   st_init (argc, argv);
   st_start_platform (&options);
-  st_start_proxy (0);
+  for (int n = 0; n < PROXIES; n++)
+    st_start_proxy (n);
   start_ms = st_now_ms ();
   for (int n = 0; n < READERS + WRITERS; n++)
     pthread_create (&threads[n], NULL, run_client, (void *)(intptr_t)n);
-  st_sleep_until_ms (start_ms + LAG_AT_MS);
-  if (st_trouble ())
-    st_set_lag (2, LAG_MS);
   st_sleep_until_ms (start_ms + DEAF_AT_MS);
   if (st_trouble ())
     st_set_deaf (1);
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -31,7 +31,7 @@
   st_init (argc, argv);
   st_start_platform (&options);
   st_start_proxy (0);
-  st_connect (&c, 0, NULL);
+  st_connect (&c, 0);
   st_query (&c, "q1", "WRITE 1a4 lepu");
   st_answer (&c, st_now_ms () + 5000, &a);
   if (!a.complete || !a.ok)
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -18,8 +18,9 @@
 int
 main (int argc, char **argv)
 {
-  const struct st_options options
-      = { "svc0", "db0", "bounded_stale", 1500, 600, 16, 2, 3, NULL, 0, false };
+  const struct st_options options = {
+    "svc0", "db0", "bounded_stale", 1500, 600, 16, 2, 3, NULL, 0, false
+  };
   int64_t start_ms;
   int64_t back_ms;
   int before;
@@ -47,8 +48,8 @@
   st_sleep_until_ms (back_ms + RECOVERY_MS + MEASURE_MS);
   load_stop ();
   before = load_count (start_ms, start_ms + FAULT_AT_MS - 500, &before_served);
-  after = load_count (back_ms + RECOVERY_MS, back_ms + RECOVERY_MS + MEASURE_MS,
-                      &after_served);
+  after = load_count (back_ms + RECOVERY_MS,
+                      back_ms + RECOVERY_MS + MEASURE_MS, &after_served);
   st_record ("before the fault %d of %d requests were served", before_served,
              before);
   st_record ("later than %d ms after the machines are back %d of %d were",
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 for case in [1-9]/case.c; do
   [ -e "$case" ] || continue
   ${CC:-gcc} -std=gnu11 -O1 -g -Wall -Wextra -Istand -o "bin/case-${case%%/*}" \
-    "$case" stand/stand.c stand/load.c -ljansson -lpthread
+    "$case" stand/*.c -ljansson -lpthread
 done
--- a/review/stand/load.c
+++ b/review/stand/load.c
@@ -53,7 +53,7 @@
       struct st_answer a = { .complete = true };
       int64_t sent_ms = st_now_ms ();
 
-      if (!st_try_connect (&c, index % n_proxies, NULL))
+      if (!st_try_connect (&c, index % n_proxies))
         {
           note (sent_ms, false);
           usleep (200000);
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -34,8 +34,6 @@
 struct st_plan
 {
   int work_ms;
-  int row_bytes;    /* of a read's row; 0: a short one */
-  bool lose_answer; /* it runs, and no byte of its answer is sent */
 };
 
 struct st_instance;
@@ -72,8 +70,6 @@
 int st_count_lower_tokens (void);
 /* Instance N receives no commits from now on.  */
 void st_set_deaf (int n);
-/* Instance N applies what it has received only LAG_MS later.  */
-void st_set_lag (int n, int lag_ms);
 /* Instance N crashes: it listens no more, and its connections end.  */
 void st_crash_instance (int n);
 /* The number of commits that a client was told of (see st_note_acknowledged)
@@ -81,19 +77,8 @@
 int st_count_lost_commits (void);
 /* The client was told that the write ID is committed.  */
 void st_note_acknowledged (const char *id);
-/* Writes a newer configuration, which differs in its version, and in one more
-   route if a host was given to st_add_route.  */
+/* Writes a newer configuration, which differs in its version only.  */
 void st_change_config (void);
-void st_add_route (const char *host);
-/* Writes KEY with a value of BYTES bytes, as another writer would.  */
-void st_put_foreign (const char *key, int bytes);
-/* The store forgets its history.  */
-void st_compact (void);
-/* Returns whether proxy N starts a session for database HOST; WHAT holds the
-   answer.  */
-bool st_can_start (int n, const char *host, char *what, size_t size);
-/* Whether an instance has run statement ID; its text is stored in TEXT.  */
-bool st_has_run (const char *id, char *text, size_t size);
 
 /* Starts proxy number N and waits until its readiness address answers 200.  */
 void st_start_proxy (int n);
@@ -106,8 +91,6 @@
 pid_t st_proxy_pid (int n);
 /* Sends SIGKILL to proxy N and waits for its end.  */
 void st_kill_proxy (int n);
-/* Resident memory of proxy N in KiB.  */
-long st_proxy_rss_kib (int n);
 
 struct st_client
 {
@@ -115,7 +98,6 @@
   char *in;
   size_t len;
   size_t size;
-  int bytes_per_s;
 };
 
 struct st_answer
@@ -129,18 +111,10 @@
   size_t bytes; /* received for this answer */
 };
 
-/* The link of a client.  */
-struct st_link
-{
-  int segment_bytes; /* 0 = of loopback */
-  int buffer_bytes;  /* receive buffer, 0 = default */
-  int bytes_per_s;   /* at which the client's link delivers, 0 = no limit */
-};
-
-/* Connects to proxy N over LINK, NULL = loopback, and starts a session.  */
-void st_connect (struct st_client *c, int n, const struct st_link *link);
+/* Connects to proxy N and starts a session.  */
+void st_connect (struct st_client *c, int n);
 /* The same; returns false if that fails.  */
-bool st_try_connect (struct st_client *c, int n, const struct st_link *link);
+bool st_try_connect (struct st_client *c, int n);
 void st_disconnect (struct st_client *c);
 /* Sends LINE as it is.  */
 void st_send (struct st_client *c, const char *line, size_t len);
