A promotion keeps every commit that replicas acknowledged

Cause: syncReplicas was not read. The failover promoted the most advanced of the replicas heard of late, as far as replies to reads had shown, and asked only those with an idle connection for their status. A proxy keeps no connection to a replica without readers, so the replica that happened to serve reads was promoted whatever it lacked.

Ruled out: the vote, the claim and the fencing token, which were right; a late status, since the better replica was never asked.

Change: with K sync replicas of R, R - K + 1 must reply to a status query of the failover, on connections opened for it and ahead of statements; the one that received most is promoted, or none. The replicas are paused before the promotion, so that a primary that others still reach has no more commits acknowledged, and resumed by every voter 4 s after a claim. A primary that leaves steps down only for a replica that keeps up. An empty log is a status like others: the row of the codec's test that refused it is replaced by rows for words that are no position or role.

--- /dev/null
+++ b/packages/core/candidate.h
@@ -0,0 +1,46 @@
+/* What the instances of a service report of their logs, and what it shows:
+   which replica holds every acknowledged commit.
+
+   A service with sync_replicas = K acknowledges a commit once K replicas have
+   received it.  Of R replicas, any R - K + 1 include one of these, so that as
+   many reports are needed before a replica may be promoted, and the most
+   advanced of those that reported must be it.  Without sync replicas a
+   promotion may lose commits, and the most advanced replica that replies is
+   promoted.  */
+#ifndef CB_CANDIDATE_H
+#define CB_CANDIDATE_H
+
+#include "service.h"
+
+/* Returns true if I replies and may be promoted.  */
+bool cnd_is_candidate (const struct svc_instance *i,
+                       const struct svc_instance *primary, int64_t now_us);
+/* Returns true if I has replied of late.  */
+bool cnd_is_reachable (const struct svc_instance *i, int64_t now_us);
+/* The highest position that I is known to hold.  */
+struct logpos cnd_highest_position (const struct svc_instance *i);
+/* Returns true if PRIMARY was a replica when it replied to a request sent at
+   or after SINCE_US: its log holds every acknowledged commit, and no more are
+   acknowledged.  */
+bool cnd_has_stepped_down (const struct svc_instance *primary,
+                           int64_t since_us);
+/* Returns the replica that has received the most, of those that replied to a
+   request sent at or after SINCE_US and received NEEDED.  NULL when there is
+   none, or when an instance that cannot be promoted has received more.  */
+struct svc_instance *cnd_choose_holder (const struct svc *s,
+                                        const struct svc_instance *primary,
+                                        struct logpos needed, int64_t since_us,
+                                        int64_t now_us);
+/* Returns the replica to promote in place of PRIMARY (NULL = unknown), NULL
+   when there is none.  With sync replicas it is one that holds every
+   acknowledged commit, as far as the replies to requests sent at or after
+   SINCE_US show; PAUSED: only those of replicas that were paused since then
+   count, unless they do not know how to.  */
+struct svc_instance *cnd_choose (const struct svc *s,
+                                 const struct svc_instance *primary,
+                                 int64_t since_us, bool paused,
+                                 int64_t now_us);
+/* The newest term known of S.  */
+uint32_t cnd_newest_term (const struct svc *s);
+
+#endif
--- a/packages/core/dir.h
+++ b/packages/core/dir.h
@@ -32,6 +32,9 @@
 {
   char *name;
   int32_t connections_max; /* limit of one instance, for all VMs together */
+  /* The primary acknowledges a commit once so many replicas have received
+     it.  */
+  int32_t sync_replicas;
 };
 
 /* One version of the operators' configuration.  Immutable once built.  */
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -177,6 +177,21 @@
 /* Sends a status query to every usable instance of S that has an idle
    connection.  */
 void plr_request_status (struct plr *p, struct svc *s, int64_t now_us);
+/* A command to the instances of a service.  */
+struct plr_command
+{
+  enum stm_kind kind;                /* STM_STATUS, STM_PAUSE or STM_RESUME */
+  uint32_t term;                     /* of STM_PAUSE */
+  const struct svc_instance *except; /* gets none, may be NULL */
+  int64_t since_us; /* a reply to one sent at or after it is good */
+};
+
+/* Sends COMMAND to the instances of S that have not replied to one yet, and
+   opens the connections it needs, also to draining instances.  One that does
+   not know how to pause is asked for its status instead.  Returns true when
+   all have replied.  */
+bool plr_command_instances (struct plr *p, struct svc *s,
+                            const struct plr_command *command, int64_t now_us);
 /* Starts or continues the search for the primary of S.  */
 void plr_seek_primary (struct plr *p, struct svc *s, int64_t now_us);
 /* Probes all instances of S, so that their replies are recent when a replica
--- a/packages/core/poolerdir.c
+++ b/packages/core/poolerdir.c
@@ -59,6 +59,7 @@
       if (s->connections_max != d->connections_max)
         p->vms.generation++;
       s->connections_max = d->connections_max;
+      s->sync_replicas = d->sync_replicas;
     }
   return true;
 }
--- a/packages/core/poolerdispatch.c
+++ b/packages/core/poolerdispatch.c
@@ -512,7 +512,8 @@
       plr_close_link (p, link, now_us);
       return;
     }
-  plr_dispatch_waiting (p, svc, now_us);
+  if (!plr_send_command (p, link, now_us))
+    plr_dispatch_waiting (p, svc, now_us);
 }
 
 void
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -142,6 +142,12 @@
 void plr_close_links (struct plr *p, struct svc_instance *i, bool all,
                       int64_t now_us);
 
+/* poolercommand.c */
+
+/* Sends the command that waits for LINK's instance, if any, on LINK, which is
+   idle.  Returns true if it was sent.  */
+bool plr_send_command (struct plr *p, struct ul *link, int64_t now_us);
+
 /* pooler.c */
 
 /* Returns the service called NAME, which is added if new.  */
--- a/packages/core/poolerrelay.c
+++ b/packages/core/poolerrelay.c
@@ -80,6 +80,10 @@
       return UL_STATUS;
     case STM_STEP_DOWN:
       return UL_STEP_DOWN;
+    case STM_PAUSE:
+      return UL_PAUSE;
+    case STM_RESUME:
+      return UL_RESUME;
     default:
       return UL_STATEMENT;
     }
--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -399,15 +399,36 @@
   fail_statement (p, s, result->code, now_us);
 }
 
+/* Returns true if RESULT, the reply to a command, says that it was not carried
+   out this time: the instance had no slot, or a home did not pass it on.  */
+static bool
+is_refused_for_now (const struct stm_result *result)
+{
+  return !result->ok
+         && (result->code == SQC_BUSY || result->code == SQC_OVERLOADED);
+}
+
+/* Records the reply to a status query or command.  */
 static void
-on_status (struct ul *link, const struct stm_result *result)
+on_status (struct ul *link, const struct ul_request *request,
+           const struct stm_result *result)
 {
-  struct svc_instance *i = link->instance;
+  struct svc_report *r = &link->instance->report;
 
   if (!result->ok || !result->status)
-    return;
-  i->received_position = result->status->received;
-  i->status_term = MAX (i->status_term, result->status->term);
+    {
+      if (request->purpose == UL_PAUSE && !is_refused_for_now (result))
+        r->refuses_pause = true;
+      return;
+    }
+  r->at_us = request->sent_us;
+  r->primary = result->status->primary;
+  r->received = result->status->received;
+  r->term = MAX (r->term, result->status->term);
+  if (request->purpose == UL_PAUSE)
+    r->paused_us = request->sent_us;
+  if (request->purpose == UL_RESUME)
+    r->resumed_us = request->sent_us;
 }
 
 static void
@@ -486,10 +507,12 @@
       on_statement (p, link, &request, result, now_us);
       break;
     case UL_STATUS:
-      on_status (link, result);
+    case UL_PAUSE:
+    case UL_RESUME:
+      on_status (link, &request, result);
       break;
     case UL_STEP_DOWN:
-      on_status (link, result);
+      on_status (link, &request, result);
       if (result->ok)
         plr_note_not_primary (p, link->instance, now_us);
       break;
--- a/packages/core/poolerwatch.c
+++ b/packages/core/poolerwatch.c
@@ -276,11 +276,13 @@
 }
 
 /* Closes the connections to an instance that must not get new work; those that
-   a session holds are closed once it releases them.  */
+   a session holds are closed once it releases them.  They are kept for a
+   command, which is no work.  */
 static void
 close_unusable (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
   if (i->unresponsive || svc_is_usable (i, now_us)
+      || now_us < i->command.until_us
       || (i->svc->primary == i && svc_may_stay_primary (i, now_us)))
     return;
   plr_close_links (p, i, false, now_us);
@@ -511,33 +513,3 @@
     watch_service (p, service, now_us);
   plr_free_closed_links (p);
 }
-
-void
-plr_request_status (struct plr *p, struct svc *s, int64_t now_us)
-{
-  struct stm query = { .kind = STM_STATUS };
-
-  for (guint n = 0; n < s->instances->len; n++)
-    {
-      struct svc_instance *i = g_ptr_array_index (s->instances, n);
-      struct ul *link = svc_is_usable (i, now_us) ? plc_idle_link (i) : NULL;
-
-      if (!link)
-        continue;
-      ctr_add (p->options.counters, CTR_STATUS_ASKED, 1);
-      ul_send (link, UL_STATUS, LP_NONE, &query, NULL, now_us);
-    }
-}
-
-bool
-plr_request_step_down (struct svc_instance *i, int64_t now_us)
-{
-  struct ul *link = plc_idle_link (i);
-  struct stm command = { .kind = STM_STEP_DOWN };
-
-  if (!link || !lp_is_known (i->received_position))
-    return false;
-  command.term = i->status_term + 1;
-  ul_send (link, UL_STEP_DOWN, LP_NONE, &command, NULL, now_us);
-  return true;
-}
--- a/packages/core/service.h
+++ b/packages/core/service.h
@@ -32,6 +32,28 @@
   uint32_t max_links;   /* connections allowed for a short while */
 };
 
+/* What an instance last said of its log.  The times are when the request was
+   sent, 0 = never.  */
+struct svc_report
+{
+  int64_t at_us;          /* the status, or the reply to any command */
+  int64_t paused_us;      /* a pause */
+  int64_t resumed_us;     /* a resume */
+  bool refuses_pause;     /* it does not know the command */
+  bool primary;           /* its role */
+  uint32_t term;          /* the newest that it has seen */
+  struct logpos received; /* may be ahead of what readers see */
+};
+
+/* A command that waits for an idle link.  */
+struct svc_command
+{
+  enum stm_kind kind;
+  uint32_t term;
+  bool wanted;
+  int64_t until_us; /* links are kept for it until then */
+};
+
 struct svc_instance
 {
   struct svc *svc;
@@ -66,9 +88,8 @@
   int64_t behind_until_us;          /* ... and is not used for it before */
   int64_t behind_backoff_us;        /* that wait, 0 = it does not lag */
   struct logpos position;           /* the highest it has reported */
-  struct logpos
-      received_position;       /* from its status, to choose whom to promote */
-  uint32_t status_term;        /* its term, from its status */
+  struct svc_report report;         /* of its log, from its status */
+  struct svc_command command;       /* to be sent on the next idle link */
   int64_t ineligible_until_us; /* not promoted before: a promotion failed */
   int64_t confirmed_us;   /* the last leadership check it passed was sent */
   int64_t not_primary_us; /* it last reported that it is not primary */
@@ -85,6 +106,7 @@
 {
   char *name;
   int32_t connections_max;
+  int32_t sync_replicas;        /* see struct dir_service */
   GPtrArray *instances;         /* struct svc_instance * */
   struct svc_instance *primary; /* the confirmed one, NULL = unknown */
   int64_t no_primary_since_us;  /* 0 while one is confirmed */
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -1,6 +1,7 @@
 /* Failover on the session path.  */
 #include "sessionfailover.h"
 
+#include "candidate.h"
 #include "rendezvous.h"
 #include <string.h>
 
@@ -18,8 +19,16 @@
 #define VOTE_WAIT_US 300000
 /* How long to wait for the status of the instances: the round trips, and the
    wait for a slot of the instance.  */
-#define SURVEY_WAIT_US 100000
-#define SURVEY_INTERVAL_US 40000
+#define STATUS_WAIT_US 100000
+#define STATUS_INTERVAL_US 40000
+/* Where commits need replicas: longest wait for their status, and for them to
+   pause, before the failover starts anew.  */
+#define STATUS_MAX_US 1000000
+#define PAUSE_MAX_US 1000000
+/* Time from a claim to promote until paused replicas are resumed: more than a
+   promotion takes.  For so long they are told.  */
+#define RESUME_AFTER_US 4000000
+#define RESUME_FOR_US 4000000
 /* How long a replica may take to catch up with a primary that stepped down:
    several times the usual lag.  */
 #define CATCH_UP_MAX_US 400000
@@ -55,10 +64,11 @@
 {
   MONITORING,
   POLLING_PEERS,
-  SURVEYING, /* waits for the status of the instances */
+  COLLECTING, /* waits for the status of the instances */
   CLAIMING_AHEAD,
   CLAIMING,
   STEPPING_DOWN,
+  PAUSING, /* waits until the replicas receive nothing any more */
   PROMOTING,
   PROMOTE_RETRY,
   CONFIRMING /* waits until the promoted instance is confirmed primary */
@@ -73,16 +83,20 @@
   int64_t state_since_us;
   int64_t act_after_us;       /* no poll or replacement before */
   int64_t turn_wait_since_us; /* start of the wait by rank, 0 = none */
-  int64_t last_survey_us;
-  char *primary_id;         /* the last one confirmed or registered */
-  char *target_id;          /* the replica to promote */
-  uint64_t claim_revision;  /* 0 = no claim known */
+  int64_t last_command_us;
+  int64_t resume_after_us;      /* replicas may be paused and are resumed then,
+                                   0 = no */
+  char *primary_id;             /* the last one confirmed or registered */
+  char *target_id;              /* the replica to promote */
+  struct logpos known_position; /* of the primary when COLLECTING began */
+  uint64_t claim_revision;      /* 0 = no claim known */
   int64_t promote_claim_us; /* when a claim to promote was last learned of */
   uint64_t suspicion_claim; /* CLAIM_REVISION when the suspicion arose */
   char *holder;             /* proxy that took the claim, NULL = unknown */
   int64_t holder_gone_since_us; /* 0 = the holder is a known voter */
   int64_t claim_ahead_after_us; /* no claim is taken ahead of need before */
   uint64_t token;               /* fencing token of the promotion, 0 = none */
+  int64_t claim_won_us;         /* since when TOKEN may be used */
   uint32_t attempts;            /* promotion calls with TOKEN */
   struct sfo_votes votes;
   const char *cause; /* of the failover, for the log */
@@ -176,14 +190,6 @@
 
 /* Evidence.  */
 
-static bool
-is_candidate (const struct svc_instance *i, const struct svc_instance *primary,
-              int64_t now_us)
-{
-  return i != primary && svc_is_usable (i, now_us) && i->refused_since_us == 0
-         && i->heard_us > 0 && now_us - i->heard_us < HEARD_MAX_AGE_US;
-}
-
 /* The instance that is or should be primary: the last one confirmed, else the
    one that the directory names.  */
 static struct svc_instance *
@@ -231,8 +237,8 @@
   struct sfo_evidence e = { 0 };
 
   for (guint n = 0; n < svc->instances->len; n++)
-    e.candidates += is_candidate (g_ptr_array_index (svc->instances, n),
-                                  primary, now_us)
+    e.candidates += cnd_is_candidate (g_ptr_array_index (svc->instances, n),
+                                      primary, now_us)
                         ? 1
                         : 0;
   if (svc->no_primary_since_us == 0 && !svc->primary)
@@ -315,32 +321,6 @@
          && v->missed * REPLACE_ONE_IN >= v->reached + v->missed;
 }
 
-static struct logpos
-highest_position (const struct svc_instance *i)
-{
-  return lp_max (i->received_position, i->position);
-}
-
-struct svc_instance *
-sfo_choose_candidate (const struct svc *s, const struct svc_instance *primary,
-                      int64_t now_us)
-{
-  struct svc_instance *best = NULL;
-
-  for (guint n = 0; n < s->instances->len; n++)
-    {
-      struct svc_instance *i = g_ptr_array_index (s->instances, n);
-
-      if (!is_candidate (i, primary, now_us)
-          || now_us < i->ineligible_until_us)
-        continue;
-      if (!best
-          || lp_compare (highest_position (i), highest_position (best)) > 0)
-        best = i;
-    }
-  return best;
-}
-
 /* State machine.  */
 
 /* The number of VOTERS whose hash for SERVICE is higher than that of this
@@ -377,24 +357,48 @@
   return now_us - sv->turn_wait_since_us >= (int64_t)rank * RANK_STEP_US;
 }
 
+/* Asks the instances for their status.  Where commits need replicas, all must
+   have replied since SINCE_US; else those are asked that have an idle
+   connection.  */
 static void
-request_status (struct sfo_service *sv, int64_t now_us)
+request_status (struct sfo_service *sv, int64_t since_us, int64_t now_us)
 {
-  if (now_us - sv->last_survey_us < SURVEY_INTERVAL_US)
+  struct plr_command command = { STM_STATUS, 0, NULL, since_us };
+
+  if (now_us - sv->last_command_us < STATUS_INTERVAL_US)
     return;
-  sv->last_survey_us = now_us;
-  plr_request_status (sv->sfo->o.pooler, sv->svc, now_us);
+  sv->last_command_us = now_us;
+  if (sv->svc->sync_replicas > 0)
+    plr_command_instances (sv->sfo->o.pooler, sv->svc, &command, now_us);
+  else
+    plr_request_status (sv->sfo->o.pooler, sv->svc, now_us);
 }
 
+/* Sends KIND, a pause or resume, to all instances but the primary.  */
 static void
-start_survey (struct sfo_service *sv, const struct sfo_evidence *e,
-              int64_t now_us)
+command_replicas (struct sfo_service *sv, enum stm_kind kind, int64_t now_us)
 {
+  struct plr_command command = { kind, cnd_newest_term (sv->svc) + 1,
+                                 find_primary (sv), sv->state_since_us };
+
+  if (now_us - sv->last_command_us < STATUS_INTERVAL_US)
+    return;
+  sv->last_command_us = now_us;
+  plr_command_instances (sv->sfo->o.pooler, sv->svc, &command, now_us);
+}
+
+static void
+start_collecting (struct sfo_service *sv, const struct sfo_evidence *e,
+                  int64_t now_us)
+{
+  const struct svc_instance *primary = find_primary (sv);
+
   sv->planned = e->draining || !e->registered;
+  sv->known_position = primary ? cnd_highest_position (primary) : LP_NONE;
   sv->cause = cause_name (e);
   log_decision (sv, "replace", now_us);
-  set_state (sv, SURVEYING, now_us);
-  request_status (sv, now_us);
+  set_state (sv, COLLECTING, now_us);
+  request_status (sv, now_us, now_us);
 }
 
 /* True when the primary is to be replaced but no candidate is known: replicas
@@ -470,7 +474,7 @@
   sv->suspicion_claim = sv->claim_revision;
   if (decision == SFO_REPLACE)
     {
-      start_survey (sv, e, now_us);
+      start_collecting (sv, e, now_us);
       return;
     }
   sv->votes = (struct sfo_votes){ 0, 1, 1, g_hash_table_size (voters) };
@@ -506,7 +510,7 @@
   if (sfo_evaluate (e) == SFO_KEEP)
     resume_monitoring (sv, 0, now_us);
   else if (sfo_votes_suffice (&sv->votes))
-    start_survey (sv, e, now_us);
+    start_collecting (sv, e, now_us);
   else
     {
       ctr_add (sv->sfo->o.counters, CTR_SUCCESSIONS_SPARED, 1);
@@ -528,9 +532,50 @@
                          sv->target_id);
 }
 
+/* The replica to promote as far as the reports since the state was entered
+   tell, NULL while they do not suffice or there is none.  */
+static struct svc_instance *
+choose_target (const struct sfo_service *sv,
+               const struct svc_instance *primary, bool paused, int64_t now_us)
+{
+  return cnd_choose (sv->svc, primary, sv->state_since_us, paused, now_us);
+}
+
+/* Returns true if the primary, which leaves, can be told to step down.  */
+static bool
+can_step_down (const struct sfo_service *sv,
+               const struct svc_instance *primary)
+{
+  return sv->planned && primary && sv->svc->primary == primary;
+}
+
+/* The replica to make the claim for.  Where commits need replicas, a primary
+   steps down only in favour of one that keeps up with it.  */
+static struct svc_instance *
+choose_for_claim (const struct sfo_service *sv,
+                  const struct svc_instance *primary, int64_t now_us)
+{
+  if (sv->svc->sync_replicas == 0 || !can_step_down (sv, primary))
+    return choose_target (sv, primary, false, now_us);
+  return cnd_choose_holder (sv->svc, primary, sv->known_position,
+                            sv->state_since_us, now_us);
+}
+
+/* No replica can be promoted at present: tries again later.  */
 static void
-tick_surveying (struct sfo_service *sv, const struct svc_instance *primary,
-                int64_t now_us)
+hold_promotion (struct sfo_service *sv, int64_t now_us)
+{
+  if (sv->svc->sync_replicas > 0)
+    {
+      ctr_add (sv->sfo->o.counters, CTR_FAILOVERS_HELD, 1);
+      log_decision (sv, "hold", now_us);
+    }
+  resume_monitoring (sv, RETRY_PAUSE_US, now_us);
+}
+
+static void
+tick_collecting (struct sfo_service *sv, const struct svc_instance *primary,
+                 int64_t now_us)
 {
   struct svc_instance *target;
 
@@ -539,14 +584,15 @@
       resume_monitoring (sv, RETRY_PAUSE_US, now_us);
       return;
     }
-  request_status (sv, now_us);
-  if (now_us - sv->state_since_us < SURVEY_WAIT_US)
+  request_status (sv, now_us - STATUS_INTERVAL_US, now_us);
+  if (now_us - sv->state_since_us < STATUS_WAIT_US)
     return;
-  target = sfo_choose_candidate (sv->svc, primary, now_us);
+  target = choose_for_claim (sv, primary, now_us);
   if (target)
     request_claim (sv, target, now_us);
-  else
-    resume_monitoring (sv, RETRY_PAUSE_US, now_us);
+  else if (sv->svc->sync_replicas == 0
+           || now_us - sv->state_since_us > STATUS_MAX_US)
+    hold_promotion (sv, now_us);
 }
 
 static void
@@ -564,29 +610,77 @@
   s->o.port->ops->promote (s->o.port, sv->svc->name, sv->target_id, sv->token);
 }
 
+static void
+set_target (struct sfo_service *sv, const struct svc_instance *target)
+{
+  if (strcmp (target->entry->id, sv->target_id) == 0)
+    return;
+  g_free (sv->target_id);
+  sv->target_id = g_strdup (target->entry->id);
+}
+
+/* Stops the replicas from receiving: a primary that is cut off from this proxy
+   only could else have a commit acknowledged by another replica than the one
+   that is promoted.  */
+static void
+start_pausing (struct sfo_service *sv, int64_t now_us)
+{
+  sv->resume_after_us = now_us + RESUME_AFTER_US;
+  set_state (sv, PAUSING, now_us);
+  command_replicas (sv, STM_PAUSE, now_us);
+}
+
+static void
+tick_pausing (struct sfo_service *sv, const struct svc_instance *primary,
+              int64_t now_us)
+{
+  struct svc_instance *target = choose_target (sv, primary, true, now_us);
+
+  if (target)
+    {
+      set_target (sv, target);
+      order_promotion (sv, now_us);
+    }
+  else if (now_us - sv->state_since_us <= PAUSE_MAX_US)
+    command_replicas (sv, STM_PAUSE, now_us);
+  else if (cnd_has_stepped_down (primary, sv->claim_won_us)
+           && cnd_is_reachable (primary, now_us))
+    {
+      /* No replica can take over: it leads again.  */
+      set_target (sv, primary);
+      order_promotion (sv, now_us);
+    }
+  else
+    hold_promotion (sv, now_us);
+}
+
 /* A primary that leaves as planned steps down first, so that a replica can
    catch up with everything it has acknowledged.  */
 static void
 tick_stepping_down (struct sfo_service *sv, const struct svc_instance *primary,
                     int64_t now_us)
 {
+  bool over = now_us - sv->state_since_us > CATCH_UP_MAX_US;
+  bool sync = sv->svc->sync_replicas > 0;
   struct svc_instance *target;
-  bool stepped_down = primary && primary->not_primary_us >= sv->state_since_us;
-
-  request_status (sv, now_us);
-  target = sfo_choose_candidate (sv->svc, primary, now_us);
-  if (!target || now_us - sv->state_since_us > CATCH_UP_MAX_US
-      || (stepped_down
-          && lp_compare (highest_position (target), highest_position (primary))
-                 >= 0))
+
+  request_status (sv, now_us - STATUS_INTERVAL_US, now_us);
+  target = choose_target (sv, primary, false, now_us);
+  if (target && cnd_has_stepped_down (primary, sv->state_since_us)
+      && lp_compare (cnd_highest_position (target),
+                     cnd_highest_position (primary))
+             >= 0)
+    over = true;
+  else if (over && sync)
     {
-      if (target && strcmp (target->entry->id, sv->target_id) != 0)
-        {
-          g_free (sv->target_id);
-          sv->target_id = g_strdup (target->entry->id);
-        }
-      order_promotion (sv, now_us);
+      start_pausing (sv, now_us);
+      return;
     }
+  if (!over && (target || sync))
+    return;
+  if (target)
+    set_target (sv, target);
+  order_promotion (sv, now_us);
 }
 
 static void
@@ -595,15 +689,36 @@
   struct svc_instance *primary;
 
   sv->token = token;
+  sv->claim_won_us = now_us;
   sv->attempts = 0;
   primary = find_primary (sv);
-  if (sv->planned && primary && sv->svc->primary == primary
-      && plr_request_step_down (primary, now_us))
+  if (can_step_down (sv, primary) && plr_request_step_down (primary, now_us))
     set_state (sv, STEPPING_DOWN, now_us);
+  else if (sv->svc->sync_replicas > 0)
+    start_pausing (sv, now_us);
   else
     order_promotion (sv, now_us);
 }
 
+/* Some time after a claim to promote the replicas that were paused for it are
+   to receive again: the proxy that paused them may have ended, and the
+   promotion, which resumes them too, may have failed.  */
+static void
+resume_replicas (struct sfo_service *sv, int64_t now_us)
+{
+  struct plr_command command
+      = { STM_RESUME, 0, find_primary (sv), sv->resume_after_us };
+
+  if (sv->resume_after_us == 0 || now_us < sv->resume_after_us
+      || now_us - sv->last_command_us < STATUS_INTERVAL_US)
+    return;
+  sv->last_command_us = now_us;
+  if (sv->svc->sync_replicas == 0
+      || now_us - sv->resume_after_us > RESUME_FOR_US
+      || plr_command_instances (sv->sfo->o.pooler, sv->svc, &command, now_us))
+    sv->resume_after_us = 0;
+}
+
 static void
 tick_confirming (struct sfo_service *sv, int64_t now_us)
 {
@@ -626,13 +741,17 @@
   switch (sv->state)
     {
     case MONITORING:
+      resume_replicas (sv, now_us);
       tick_monitoring (sv, &e, voters, now_us);
       break;
     case POLLING_PEERS:
       tick_polling (sv, &e, now_us);
       break;
-    case SURVEYING:
-      tick_surveying (sv, primary, now_us);
+    case COLLECTING:
+      tick_collecting (sv, primary, now_us);
+      break;
+    case PAUSING:
+      tick_pausing (sv, primary, now_us);
       break;
     case STEPPING_DOWN:
       tick_stepping_down (sv, primary, now_us);
@@ -685,7 +804,10 @@
   if (claim->revision <= sv->claim_revision)
     return;
   if (claim->promotes)
-    sv->promote_claim_us = now_us;
+    {
+      sv->promote_claim_us = now_us;
+      sv->resume_after_us = now_us + RESUME_AFTER_US;
+    }
   /* A claim taken ahead of need says nothing about a primary that is
      suspected here.  */
   else if (sv->suspicion_claim == sv->claim_revision)
--- a/packages/core/sessionfailover.h
+++ b/packages/core/sessionfailover.h
@@ -137,9 +137,5 @@
 
 /* True when the votes justify replacing the primary.  */
 bool sfo_votes_suffice (const struct sfo_votes *v);
-/* The replica to promote, NULL when there is none.  */
-struct svc_instance *sfo_choose_candidate (const struct svc *s,
-                                           const struct svc_instance *primary,
-                                           int64_t now_us);
 
 #endif
--- a/packages/core/statement.h
+++ b/packages/core/statement.h
@@ -21,9 +21,11 @@
   STM_DEALLOCATE,
   STM_MALFORMED,
   /* Sent by proxies only.  */
-  STM_RESET,    /* drops values and prepared statements */
-  STM_STATUS,   /* queries role, term, position and load */
-  STM_STEP_DOWN /* a primary of a term below TERM becomes a replica */
+  STM_RESET,     /* drops values and prepared statements */
+  STM_STATUS,    /* queries role, term, position and load */
+  STM_STEP_DOWN, /* a primary of a term below TERM becomes a replica */
+  STM_PAUSE,     /* with a TERM above the newest: a replica stops receiving */
+  STM_RESUME     /* a paused replica receives again */
 };
 
 /* How a statement is queued for a connection.  */
@@ -44,11 +46,11 @@
   const char *id;
   const char *name;
   const char *args;
-  uint32_t term; /* of STM_STEP_DOWN */
+  uint32_t term; /* of STM_STEP_DOWN and STM_PAUSE */
   struct stm_urgency urgency;
 };
 
-/* An instance's reply to STM_STATUS.  */
+/* An instance's reply to STM_STATUS and to the commands after it.  */
 struct stm_status
 {
   bool primary;
@@ -95,7 +97,8 @@
   size_t rows_len;
   enum stm_state state;
   struct logpos position;
-  const struct stm_status *status; /* reply to STM_STATUS, else NULL */
+  const struct stm_status *status; /* reply to STM_STATUS and the commands
+                                      after it, else NULL */
 };
 
 #endif
--- a/packages/core/uplink.h
+++ b/packages/core/uplink.h
@@ -24,7 +24,9 @@
   UL_ROLLBACK,
   /* The reply to these and all later ones is the instance's status.  */
   UL_STATUS,
-  UL_STEP_DOWN
+  UL_STEP_DOWN,
+  UL_PAUSE,
+  UL_RESUME
 };
 
 /* A request that awaits its reply.  */
--- a/tests/fakes/dbmodel.c
+++ b/tests/fakes/dbmodel.c
@@ -28,6 +28,7 @@
       i->primary = k == 0;
       i->log = g_ptr_array_new ();
       i->connections_max = 16;
+      i->knows_pause = true;
     }
   return g;
 }
@@ -119,27 +120,71 @@
   return last_position (i->log, i->log->len);
 }
 
+/* The entry of the first LEN of I's log that has the number of POSITION, NULL
+   when there is none: numbers have no gaps.  */
+static const struct dbm_entry *
+entry_at (const struct dbm_instance *i, guint len, struct logpos position)
+{
+  if (position.number == 0 || position.number > len)
+    return NULL;
+  return g_ptr_array_index (i->log, position.number - 1);
+}
+
 static bool
 holds_entry (const struct dbm_instance *i, guint len,
              const struct dbm_entry *e)
 {
-  for (guint k = len; k > 0; k--)
-    if (g_ptr_array_index (i->log, k - 1) == e)
-      return true;
-  return false;
+  return entry_at (i, len, e->position) == e;
 }
 
 static bool
 holds_position (const struct dbm_instance *i, guint len, struct logpos p)
 {
-  for (guint k = len; k > 0; k--)
+  const struct dbm_entry *e = entry_at (i, len, p);
+
+  return e && lp_compare (e->position, p) == 0;
+}
+
+static bool
+receives (const struct dbm_instance *i)
+{
+  return !i->isolated && !i->paused;
+}
+
+/* Counts the acknowledged commits that promoting NEW_PRIMARY loses.  */
+static void
+check_promotion (struct dbm *g, const struct dbm_instance *new_primary)
+{
+  const struct dbm_instance *old = dbm_primary (g);
+
+  for (guint k = 0; g->sync_replicas > 0 && old && k < old->log->len; k++)
     {
-      struct dbm_entry *e = g_ptr_array_index (i->log, k - 1);
+      struct dbm_entry *e = g_ptr_array_index (old->log, k);
 
-      if (lp_compare (e->position, p) == 0)
-        return true;
+      if (e->acked_us > 0
+          && !holds_entry (new_primary, new_primary->log->len, e))
+        dbm_record_violation (
+            g, "%s was promoted without the acknowledged commit %u.%lu",
+            new_primary->id, e->position.term,
+            (unsigned long)e->position.number);
     }
-  return false;
+}
+
+/* Checks and records the fencing TOKEN of a promotion.  Returns false if it is
+   to be refused.  */
+static bool
+accept_token (struct dbm *g, uint64_t token)
+{
+  if (token >= g->last_fencing_token)
+    {
+      g->last_fencing_token = token;
+      return true;
+    }
+  if (g->ignores_fences)
+    dbm_record_violation (g, "a promotion has token %lu after %lu",
+                          (unsigned long)token,
+                          (unsigned long)g->last_fencing_token);
+  return g->ignores_fences;
 }
 
 bool
@@ -148,11 +193,11 @@
   struct dbm_instance *new_primary = dbm_find (g, id);
 
   (void)now_us;
-  if (!new_primary || token < g->last_fencing_token)
+  if (!new_primary || !accept_token (g, token))
     return false;
-  g->last_fencing_token = token;
   if (new_primary->primary)
     return true;
+  check_promotion (g, new_primary);
   g->term++;
   g->promotions++;
   for (uint32_t k = 0; k < g->n; k++)
@@ -160,6 +205,7 @@
       struct dbm_instance *i = &g->instances[k];
 
       i->primary = i == new_primary;
+      i->paused = false;
       if (i == new_primary)
         continue;
       g->rolled_back += i->log->len > new_primary->log->len
@@ -211,9 +257,11 @@
   g_free (c);
 }
 
-static void
+/* Appends a commit.  Returns false if too few replicas have received it.  */
+static bool
 append_commit (struct dbm *g, const char *id, int64_t now_us)
 {
+  uint32_t received = 0;
   struct dbm_instance *primary = dbm_primary (g);
   struct dbm_entry *e = g_new0 (struct dbm_entry, 1);
 
@@ -230,19 +278,21 @@
   e->position.number = primary->log->len + 1;
   g_ptr_array_add (g->entries, e);
   for (uint32_t k = 0; k < g->n; k++)
-    if (&g->instances[k] == primary || !g->instances[k].isolated)
+    if (&g->instances[k] == primary || receives (&g->instances[k]))
       {
         struct dbm_instance *i = &g->instances[k];
 
         /* A replica that was isolated may lack entries, so all are copied.  */
         if (i != primary)
           {
+            received++;
             g_ptr_array_set_size (i->log, 0);
             for (guint n = 0; n < primary->log->len; n++)
               g_ptr_array_add (i->log, g_ptr_array_index (primary->log, n));
           }
         g_ptr_array_add (i->log, e);
       }
+  return received >= g->sync_replicas;
 }
 
 static struct dbm_entry *
@@ -414,8 +464,8 @@
     fail_statement (c, result, SQC_READ_ONLY);
   else
     for (guint k = 0; k < c->writes->len; k++)
-      append_commit (c->instance->group, g_ptr_array_index (c->writes, k),
-                     now_us);
+      c->unacknowledged |= !append_commit (
+          c->instance->group, g_ptr_array_index (c->writes, k), now_us);
   end_transaction (c);
 }
 
@@ -439,7 +489,7 @@
           g_ptr_array_add (c->writes, g_strdup (s->id));
         }
       else if (writes)
-        append_commit (i->group, s->id, now_us);
+        c->unacknowledged |= !append_commit (i->group, s->id, now_us);
     }
 }
 
@@ -456,7 +506,7 @@
 }
 
 static void
-report_status (struct dbm_conn *c, struct stm_result *result)
+report_status (const struct dbm_conn *c, struct stm_result *result)
 {
   static struct stm_status row;
 
@@ -467,6 +517,26 @@
   result->status = &row;
 }
 
+/* Stops or restarts the reception of the log.  */
+static void
+set_paused (struct dbm_conn *c, const struct stm *s, struct stm_result *result)
+{
+  struct dbm_instance *i = c->instance;
+
+  /* An unknown command gets an error or an empty result.  */
+  if (!i->knows_pause)
+    {
+      if (i->index % 2 == 0)
+        fail_statement (c, result, SQC_MALFORMED);
+      return;
+    }
+  if (s->kind == STM_RESUME)
+    i->paused = false;
+  else if (s->term > i->group->term && !i->primary)
+    i->paused = true;
+  report_status (c, result);
+}
+
 /* Session values and prepared statements.  */
 static void
 set_session_state (struct dbm_conn *c, const struct stm *s)
@@ -532,6 +602,10 @@
           i->primary = false;
         report_status (c, result);
         break;
+      case STM_PAUSE:
+      case STM_RESUME:
+        set_paused (c, s, result);
+        break;
       case STM_DEALLOCATE:
       case STM_MALFORMED:
         fail_statement (c, result, SQC_MALFORMED);
--- a/tests/fakes/dbmodel.h
+++ b/tests/fakes/dbmodel.h
@@ -32,6 +32,8 @@
   char id[32];
   bool primary;
   bool isolated; /* receives no log entries */
+  bool paused;   /* was told to receive none */
+  bool knows_pause;
   bool draining;
   int64_t lag_us; /* added to the replication delay */
   GPtrArray *log; /* struct dbm_entry *, owned by the group */
@@ -46,6 +48,8 @@
   enum stm_state state;
   bool needs_primary; /* begun by a plain BEGIN: runs on a primary only */
   bool wrote;
+  /* The last commit was received by too few replicas: no reply is sent.  */
+  bool unacknowledged;
   char *owner;       /* session whose transaction is open, NULL if it is the
                         proxy's own */
   GPtrArray *writes; /* char *, ids of writes not committed yet */
@@ -76,7 +80,12 @@
   struct dbm_instance instances[DBM_INSTANCES_MAX];
   GPtrArray *entries; /* struct dbm_entry *, all ever committed */
   uint32_t term;
+  /* So many replicas must receive a commit before it is acknowledged.  A
+     promotion that loses an acknowledged one is a violation then.  */
+  uint32_t sync_replicas;
   uint64_t last_fencing_token;
+  bool ignores_fences; /* a promotion with a lower token is carried out, and
+                          counts as a violation */
   uint32_t promotions;
   uint32_t rolled_back; /* commits lost by promotions */
   dbm_find_sender_fn *find_sender;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -230,7 +230,11 @@
   } const cases[] = {
     { "DATAROW replica 3 3.1209 0 12 2 17\r\n", true, false, 1209 },
     { "DATAROW primary 3 3.1209 0 0 2 17\r\n", true, true, 1209 },
-    { "DATAROW replica 3 - 0 12 2 17\r\n", false, false, 0 },
+    // The log of a new database is empty, which is a state to report too.
+    { "DATAROW replica 3 - 0 12 2 17\r\n", true, false, 0 },
+    { "DATAROW replica 3 3. 0 12 2 17\r\n", false, false, 0 },
+    { "DATAROW replica 3 x 0 12 2 17\r\n", false, false, 0 },
+    { "DATAROW other 3 3.1209 0 12 2 17\r\n", false, false, 1209 },
     { "DATAROW replica\r\n", false, false, 0 },
     { "", false, false, 0 },
   };
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -515,12 +515,14 @@
 // Runs 900 random steps of callers and faults from one seed, ends the faults,
 // and checks that every statement got its reply and that writes succeed again.
 void
-RunRandomFaults (uint64_t seed)
+RunRandomFaults (uint64_t seed, uint32_t sync_replicas = 0)
 {
   PoolWorld w (seed);
   static const char *const databases[] = { "fresh", "bounded", "own" };
   auto pick = [&w] (uint64_t n) { return w.random () % n; };
 
+  w.group->sync_replicas = sync_replicas;
+  w.Configure (2);
   for (int n = 0; n < 12; n++)
     w.Open (databases[pick (3)]);
   for (int step = 0; step < 900; step++)
@@ -617,12 +619,20 @@
 // Seeds that failed once, with the cause.
 TEST (Pooler, SeedsThatOnceFailedPass)
 {
-  static const uint64_t seeds[] = {
-    1175, // a read sent along with a BEGIN that failed ran on a stale replica
-    1486, // connections that never opened used up the limit permanently
+  static const struct
+  {
+    uint64_t seed;
+    uint32_t sync_replicas;
+  } cases[] = {
+    { 1175, 0 }, // a read sent along with a BEGIN that failed ran on a stale
+                 // replica
+    { 1486, 0 }, // connections that never opened used up the limit permanently
+    { 123, 1 }, // without a pause of the replicas a commit was acknowledged by
+                // one while the other was promoted
+    { 132, 1 }, // the longest log was at a replica that could not be promoted
   };
-  for (uint64_t seed : seeds)
-    RunRandomFaults (seed);
+  for (const auto &c : cases)
+    RunRandomFaults (c.seed, c.sync_replicas);
 }
 
 TEST (Pooler, GuaranteesHoldUnderRandomFaults)
@@ -632,7 +642,8 @@
   uint64_t from = first ? g_ascii_strtoull (first, nullptr, 10) : 1;
   uint64_t count = n ? g_ascii_strtoull (n, nullptr, 10) : 60;
 
-  for (uint64_t seed = from; seed < from + count && !HasFailure (); seed++)
-    RunRandomFaults (seed);
+  for (uint32_t sync_replicas : { 0, 1 })
+    for (uint64_t seed = from; seed < from + count && !HasFailure (); seed++)
+      RunRandomFaults (seed, sync_replicas);
 }
 } // namespace
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -137,12 +137,14 @@
 
 void
 DeliverReply (PoolWorld *w, UpConn *u, struct stm_result result,
-              std::string signature)
+              std::string signature, const struct stm_status &status)
 {
   if (!u->open || w->IsUnresponsive (u))
     return;
   if (result.signature)
     result.signature = signature.c_str ();
+  if (result.status)
+    result.status = &status;
   plr_link_replied (w->pooler, u->link, &result, w->now_us);
 }
 
@@ -180,6 +182,7 @@
 {
   struct stm_result result;
   struct stm s = sent->statement;
+  bool asks_status = s.kind == STM_STATUS || s.kind == STM_PAUSE;
   bool needs_slot = s.kind == STM_READ || s.kind == STM_WRITE
                     || s.kind == STM_EXECUTE || s.kind == STM_COMMIT;
 
@@ -200,7 +203,8 @@
       return;
     }
   int64_t done_us = needs_slot ? w->DoneAt (u->instance, sent->id) : w->now_us;
-  if (done_us < 0 || (needs_slot && w->Chance (w->faults.busy)))
+  if (done_us < 0 || (needs_slot && w->Chance (w->faults.busy))
+      || (asks_status && w->Chance (w->faults.status_busy)))
     {
       done_us = w->now_us;
       memset (&result, 0, sizeof result);
@@ -210,6 +214,8 @@
     }
   else
     dbm_run (u->conn, sent->after, &s, &result, w->now_us);
+  if (u->conn->unacknowledged)
+    u->silent = true;
   if (needs_slot && w->Chance (w->faults.lose_reply))
     u->silent = true;
   if (u->silent)
@@ -223,8 +229,12 @@
       return;
     }
   std::string signature = result.signature ? result.signature : "";
-  w->At (delay_us, [w, u, result, signature] {
-    DeliverReply (w, u, result, signature);
+  // The model reuses the row.
+  struct stm_status status = {};
+  if (result.status)
+    status = *result.status;
+  w->At (delay_us, [w, u, result, signature, status] {
+    DeliverReply (w, u, result, signature, status);
   });
 }
 
@@ -290,7 +300,8 @@
   w->promoted.push_back (id);
   w->At (150000, [w, name, id, token] {
     bool dead = w->unresponsive[id] || w->refused[id];
-    bool done = !dead && dbm_promote (w->group, id.c_str (), token, w->now_us);
+    bool done = !dead && !w->promotions_fail
+                && dbm_promote (w->group, id.c_str (), token, w->now_us);
     sfo_complete_promotion (w->sfo, name.c_str (),
                             done ? SFO_PROMOTED : SFO_PROMOTE_REFUSED,
                             w->now_us);
@@ -453,6 +464,7 @@
 
   s->name = g_strdup ("stock");
   s->connections_max = 16;
+  s->sync_replicas = (int32_t)group->sync_replicas;
   dir_config_add_service (c, s);
   for (const auto &r : routes)
     if (std::find (dropped.begin (), dropped.end (), r.database)
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -68,9 +68,10 @@
 // Faults injected into the next statements; probabilities from 0 to 1.
 struct Faults
 {
-  double lose_reply = 0; // the reply never comes
-  double break_conn = 0; // the connection breaks instead of a reply
-  double busy = 0;       // the instance refuses the statement as busy
+  double lose_reply = 0;  // the reply never comes
+  double break_conn = 0;  // the connection breaks instead of a reply
+  double busy = 0;        // the instance refuses the statement as busy
+  double status_busy = 0; // it refuses a status query or pause as busy
   int64_t work_us = 4000;
   int64_t round_trip_us = 2000;
   uint32_t slots = 0;      // of each instance; 0 = unlimited
@@ -114,8 +115,9 @@
   std::string overloaded_home_of; // instance whose homes refuse as overloaded
   bool store_up = true;
   bool store_silent = false; // claims get no reply
-  bool objectives = true;    // the routes have latency objectives
-  bool homes_reach = false;  // relay paths to unresponsive instances work
+  bool promotions_fail = false;
+  bool objectives = true;   // the routes have latency objectives
+  bool homes_reach = false; // relay paths to unresponsive instances work
   // Homes refuse statements for unresponsive instances once these have waited.
   bool homes_refuse = false;
   uint32_t votes_reached = 0;
