Without fence checks no outdated claim is used to promote

Cause: the holder of a claim that gets no answer from the store promotes with it and counts on the platform to refuse an outdated token. requireFence was not read, so it did so also where nothing is refused.

Ruled out: the store's compare-and-swap, which gave each claim its own revision; two proxies with the same claim.

Change: the setting reaches the failover; missing counts as false. Without the check a promotion needs a claim that the store granted for it, and its token is used for 1.2 s from the request, less than the 1.8 s for which the others respect a claim. Repeated calls and a process that was paused after its claim fall under the same rule.

--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -42,6 +42,13 @@
 #define CLAIM_WAIT_US 400000
 /* How long another proxy with a new claim has to promote.  */
 #define OTHER_CLAIM_GRACE_US 1800000
+/* How long a token may be used from when its claim was requested, if the
+   platform does not check tokens: others respect the claim for longer, and the
+   call is on its way for a part of the difference.  */
+#define TOKEN_VALID_US (OTHER_CLAIM_GRACE_US - 600000)
+/* In that case a claim without a result for so long is given up; the store's
+   adapter reports one sooner.  */
+#define CLAIM_LOST_US 4000000
 /* Wait per rank before a proxy acts, so that usually only one claims.  */
 #define RANK_STEP_US 100000
 #define RANK_MAX 5
@@ -96,8 +103,9 @@
   int64_t holder_gone_since_us; /* 0 = the holder is a known voter */
   int64_t claim_ahead_after_us; /* no claim is taken ahead of need before */
   uint64_t token;               /* fencing token of the promotion, 0 = none */
-  int64_t claim_won_us;         /* since when TOKEN may be used */
-  uint32_t attempts;            /* promotion calls with TOKEN */
+  int64_t claim_requested_us;   /* when TOKEN was */
+  int64_t claim_won_us;
+  uint32_t attempts; /* promotion calls with TOKEN */
   struct sfo_votes votes;
   const char *cause; /* of the failover, for the log */
   bool planned;      /* the primary leaves; it steps down first */
@@ -140,6 +148,12 @@
   g_free (s);
 }
 
+void
+sfo_set_tokens_checked (struct sfo *s, bool checked)
+{
+  s->o.tokens_are_checked = checked;
+}
+
 static struct sfo_service *
 get_service (struct sfo *s, const char *service)
 {
@@ -527,6 +541,7 @@
 
   g_free (sv->target_id);
   sv->target_id = g_strdup (target->entry->id);
+  sv->claim_requested_us = now_us;
   set_state (sv, CLAIMING, now_us);
   s->o.port->ops->claim (s->o.port, sv->svc->name, sv->claim_revision,
                          sv->target_id);
@@ -595,11 +610,27 @@
     hold_promotion (sv, now_us);
 }
 
+/* True when no other proxy can promote with a newer token before the call with
+   this one arrives, or if the platform refuses the older one then.  */
+static bool
+is_token_valid (const struct sfo_service *sv, int64_t now_us)
+{
+  return sv->sfo->o.tokens_are_checked
+         || (sv->claim_revision == sv->token
+             && now_us - sv->claim_requested_us < TOKEN_VALID_US);
+}
+
 static void
 order_promotion (struct sfo_service *sv, int64_t now_us)
 {
   struct sfo *s = sv->sfo;
 
+  if (!is_token_valid (sv, now_us))
+    {
+      log_decision (sv, "token too old", now_us);
+      resume_monitoring (sv, RETRY_PAUSE_US, now_us);
+      return;
+    }
   sv->attempts++;
   EV (s->o.log, now_us, EV_PROMOTE, EV_TEXT ("service", sv->svc->name),
       EV_TEXT ("instance", sv->target_id),
@@ -732,6 +763,25 @@
     plr_seek_primary (sv->sfo->o.pooler, sv->svc, now_us);
 }
 
+/* True when this proxy may promote with the claim that it holds, without a new
+   one: if another proxy has claimed since, its token is refused.  */
+static bool
+may_use_held_claim (const struct sfo_service *sv)
+{
+  return holds_claim (sv) && sv->sfo->o.tokens_are_checked;
+}
+
+static void
+tick_claiming (struct sfo_service *sv, int64_t now_us)
+{
+  int64_t waited_us = now_us - sv->state_since_us;
+
+  if (may_use_held_claim (sv) && waited_us > CLAIM_WAIT_US)
+    start_promotion (sv, sv->claim_revision, now_us);
+  else if (!sv->sfo->o.tokens_are_checked && waited_us > CLAIM_LOST_US)
+    resume_monitoring (sv, RETRY_PAUSE_US, now_us);
+}
+
 static void
 tick_service (struct sfo_service *sv, GHashTable *voters, int64_t now_us)
 {
@@ -764,8 +814,7 @@
       tick_confirming (sv, now_us);
       break;
     case CLAIMING:
-      if (holds_claim (sv) && now_us - sv->state_since_us > CLAIM_WAIT_US)
-        start_promotion (sv, sv->claim_revision, now_us);
+      tick_claiming (sv, now_us);
       break;
     case CLAIMING_AHEAD:
     case PROMOTING:
@@ -854,9 +903,9 @@
       note_own_claim (sv, token, true, now_us);
       start_promotion (sv, token, now_us);
     }
-  else if (!answered && holds_claim (sv))
-    /* The store is unavailable, so no other proxy should have claimed since;
-       if one has, the fencing token is refused.  */
+  else if (!answered && may_use_held_claim (sv))
+    /* The store is unavailable, so no other proxy should have claimed
+       since.  */
     start_promotion (sv, sv->claim_revision, now_us);
   else
     resume_monitoring (sv, RETRY_PAUSE_US, now_us);
--- a/packages/core/sessionfailover.h
+++ b/packages/core/sessionfailover.h
@@ -85,12 +85,18 @@
   struct ctr_set *counters;
   struct ev_log *log;
   const char *vm; /* name of this proxy */
+  /* The platform refuses a promotion whose token is lower than one it has
+     seen.  If it does not, a token is used only while no other proxy can have
+     a newer one.  */
+  bool tokens_are_checked;
 };
 
 struct sfo;
 
 struct sfo *sfo_new (const struct sfo_options *options);
 void sfo_free (struct sfo *s);
+/* Changes struct sfo_options.tokens_are_checked.  */
+void sfo_set_tokens_checked (struct sfo *s, bool checked);
 #define SFO_TICK_US 40000
 /* Advances the failover of every service; to be called every SFO_TICK_US.  VMS
    is the set of known proxies, which vote on a service without homes.  */
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -251,6 +251,7 @@
   so.counters = options->counters;
   so.log = options->log;
   so.vm = options->vm;
+  so.tokens_are_checked = options->tokens_are_checked;
   c->sfo = sfo_new (&so);
   plr_set_request_yield (options->pooler, on_out_of_connections, c);
   fo.vms = plr_vms (options->pooler);
--- a/packages/proxy/cluster.h
+++ b/packages/proxy/cluster.h
@@ -41,6 +41,7 @@
   const char *vm;
   const char *listen; /* host:port for peers */
   const char *data_centre;
+  bool tokens_are_checked; /* see struct sfo_options */
   int64_t stale_us; /* age limit of the directory; see struct fed_options */
   struct cluster_sink sink;
 };
--- a/tests/fakes/dbmodel.c
+++ b/tests/fakes/dbmodel.c
@@ -170,21 +170,16 @@
     }
 }
 
-/* Checks and records the fencing TOKEN of a promotion.  Returns false if it is
-   to be refused.  */
-static bool
-accept_token (struct dbm *g, uint64_t token)
+void
+dbm_note_token (struct dbm *g, uint64_t token)
 {
-  if (token >= g->last_fencing_token)
-    {
-      g->last_fencing_token = token;
-      return true;
-    }
-  if (g->ignores_fences)
+  if (!g->ignores_fences)
+    return;
+  if (token < g->last_fencing_token)
     dbm_record_violation (g, "a promotion has token %lu after %lu",
                           (unsigned long)token,
                           (unsigned long)g->last_fencing_token);
-  return g->ignores_fences;
+  g->last_fencing_token = MAX (g->last_fencing_token, token);
 }
 
 bool
@@ -193,8 +188,9 @@
   struct dbm_instance *new_primary = dbm_find (g, id);
 
   (void)now_us;
-  if (!new_primary || !accept_token (g, token))
+  if (!new_primary || (token < g->last_fencing_token && !g->ignores_fences))
     return false;
+  g->last_fencing_token = MAX (g->last_fencing_token, token);
   if (new_primary->primary)
     return true;
   check_promotion (g, new_primary);
--- a/tests/fakes/dbmodel.h
+++ b/tests/fakes/dbmodel.h
@@ -84,8 +84,8 @@
      promotion that loses an acknowledged one is a violation then.  */
   uint32_t sync_replicas;
   uint64_t last_fencing_token;
-  bool ignores_fences; /* a promotion with a lower token is carried out, and
-                          counts as a violation */
+  bool ignores_fences; /* promotions with a lower token are carried out; to
+                          request one is a violation, see dbm_note_token */
   uint32_t promotions;
   uint32_t rolled_back; /* commits lost by promotions */
   dbm_find_sender_fn *find_sender;
@@ -101,6 +101,8 @@
 void dbm_free (struct dbm *g);
 struct dbm_instance *dbm_find (struct dbm *g, const char *id);
 struct dbm_instance *dbm_primary (struct dbm *g);
+/* A promotion with TOKEN is requested.  */
+void dbm_note_token (struct dbm *g, uint64_t token);
 /* Makes instance ID the primary.  False when there is none of that name or
    TOKEN is lower than one seen before.  */
 bool dbm_promote (struct dbm *g, const char *id, uint64_t token,
--- a/tests/fakes/lineserver.c
+++ b/tests/fakes/lineserver.c
@@ -110,8 +110,8 @@
     s->o.codec->ops->write_result (s->o.codec, c->reply, &result);
   c->due_us = now_us + (is_work ? s->o.work_us : 1);
   c->break_reply = is_work && draw_fault (s->faults.break_reply);
-  c->lose_replies
-      = c->lose_replies || (is_work && draw_fault (s->faults.lose_reply));
+  c->lose_replies = c->lose_replies || c->db->unacknowledged
+                    || (is_work && draw_fault (s->faults.lose_reply));
 }
 
 /* A line is read only after the reply to the one before it was sent.  */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -62,6 +62,18 @@
   return (uint32_t)g_rand_int_range (soak.random, 0, (gint32)n);
 }
 
+/* The parts of the deployment that the pages leave open, by SEED: consecutive
+   seeds have all combinations.  */
+static void
+choose_deployment (uint32_t seed)
+{
+  static const char *const graces_s[] = { "6" };
+
+  soak.deployment.sync_replicas = seed % 2;
+  soak.deployment.requires_fence = seed / 2 % 2 == 0;
+  soak.deployment.grace_s = graces_s[seed % G_N_ELEMENTS (graces_s)];
+}
+
 /* Simulated store and instances.  */
 
 static int
@@ -77,6 +89,7 @@
       {
         struct dbm_instance *i = dbm_find (soak.groups[k].db, instance);
 
+        dbm_note_token (soak.groups[k].db, token);
         if (i && !lsv_faults (soak.groups[k].servers[i->index])->unresponsive
             && dbm_promote (soak.groups[k].db, instance, token,
                             loop_now_us ()))
@@ -144,8 +157,8 @@
   g_string_printf (text, "{\"version\":%u,\"services\":[", soak.version);
   for (uint32_t n = 0; n < SOAK_GROUPS; n++)
     g_string_append_printf (
-        text, "%s{\"name\":\"%s\",\"maxConns\":16,\"syncReplicas\":0}",
-        n ? "," : "", soak.groups[n].name);
+        text, "%s{\"name\":\"%s\",\"maxConns\":16,\"syncReplicas\":%u}",
+        n ? "," : "", soak.groups[n].name, soak.deployment.sync_replicas);
   g_string_append (text, "],\"routes\":[");
   for (uint32_t n = 0; n < SOAK_GROUPS * 3; n++)
     g_string_append_printf (
@@ -170,11 +183,14 @@
       "zones:\n  z0: \"r0\"\n  z1: \"r0\"\n  z2: \"r1\"\n"
       "listen:\n  frontend: \"%s:%u\"\n  readiness: \"%s:%u\"\n"
       "internalPorts:\n  - %u\n  - %u\nlimits:\n  maxFds: 2000\n"
-      "bounds:\n  drainMs: 7000\n  graceS: 6\n  configApplyMs: 3000\n"
+      "bounds:\n  drainMs: 7000\n  graceS: %s\n  configApplyMs: 3000\n"
+      "  requireFence: %s\n"
       "platform:\n  address: \"127.0.0.1:%u\"\n"
       "cloudApi:\n  address: \"127.0.0.1:%u\"\n",
       v->name, v->index % 3, v->ip, v->ip, soak.base, v->ip, soak.base + 1,
-      soak.base + 2, soak.base + 9, v->store_port, v->store_port);
+      soak.base + 2, soak.base + 9, soak.deployment.grace_s,
+      soak.deployment.requires_fence ? "true" : "false", v->store_port,
+      v->store_port);
 
   g_file_set_contents (v->settings, text, -1, NULL);
   g_free (text);
@@ -399,6 +415,8 @@
   g_snprintf (g->name, sizeof g->name, "svc%u", n);
   g_snprintf (prefix, sizeof prefix, "i%u", n);
   g->db = dbm_new (prefix, SOAK_INSTANCES, soak_sender, NULL);
+  g->db->sync_replicas = soak.deployment.sync_replicas;
+  g->db->ignores_fences = !soak.deployment.requires_fence;
   for (uint32_t k = 0; k < SOAK_INSTANCES; k++)
     {
       uint16_t real = (uint16_t)(soak.base + 20 + n * 16 + k * 2);
@@ -581,6 +599,7 @@
 
   signal (SIGPIPE, SIG_IGN);
   soak.random = g_rand_new_with_seed (c->seed);
+  choose_deployment (c->seed);
   g_random_set_seed (c->seed);
   g_mutex_init (&soak.lock);
   soak.links = g_ptr_array_new ();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -49,6 +49,14 @@
   int64_t last_heartbeat_us[SOAK_INSTANCES];
 };
 
+/* What a deployment may choose.  */
+struct deployment
+{
+  uint32_t sync_replicas;
+  bool requires_fence;
+  const char *grace_s; /* a number in seconds */
+};
+
 struct soak
 {
   struct loop loop;
@@ -62,6 +70,7 @@
   GPtrArray *links;    /* struct fpx *, to the store and the instances */
   GHashTable *senders; /* statement id -> struct dbm_sender * */
   GRand *random;
+  struct deployment deployment;
   const char *program;
   uint16_t base;            /* first port */
   uint32_t version;         /* of the configuration in the store */
--- a/tests/unit/fleetworld.cc
+++ b/tests/unit/fleetworld.cc
@@ -665,6 +665,7 @@
   vm->pooler = plr_new (&po);
   so.pooler = vm->pooler;
   so.port = &vm->failover_port.port;
+  so.tokens_are_checked = true;
   so.counters = vm->counters;
   so.vm = vm->name.c_str ();
   vm->sfo = sfo_new (&so);
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -369,6 +369,8 @@
   } const cases[] = {
     { kSettings, NULL },
     { Replace (kSettings, "bounds:", "boundz:"), NULL },
+    { Replace (kSettings, "graceS: 6", "requireFence: true"), NULL },
+    { Replace (kSettings, "graceS: 6", "requireFence: false"), NULL },
     { Replace (kSettings, "node: \"vm-1\"\n", ""), "node" },
     { Replace (kSettings, "platform:", "platfrom:"), "platform" },
     { Replace (kSettings, "drainMs: 7000", "drainMs: soon"), "drainMs" },
@@ -395,6 +397,8 @@
           EXPECT_STREQ (s->store_url, "http://10.200.1.7:8783");
           EXPECT_EQ (s->grace_ms, 6000);
           EXPECT_EQ (s->peers_port, 7440);
+          EXPECT_EQ (s->require_fence,
+                     c.text.find ("requireFence: true") != std::string::npos);
         }
       pset_free (s);
       g_free (report);
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -298,6 +298,16 @@
   std::string id = instance;
 
   w->promoted.push_back (id);
+  // The platform sees the token when the call is made.
+  dbm_note_token (w->group, token);
+  if (w->promotions_lost_after_us > 0)
+    {
+      w->At (w->promotions_lost_after_us, [w, name] {
+        sfo_complete_promotion (w->sfo, name.c_str (), SFO_PROMOTE_LOST,
+                                w->now_us);
+      });
+      return;
+    }
   w->At (150000, [w, name, id, token] {
     bool dead = w->unresponsive[id] || w->refused[id];
     bool done = !dead && !w->promotions_fail
@@ -393,6 +403,7 @@
   so.counters = counters;
   so.log = &log;
   so.vm = "vm-1";
+  so.tokens_are_checked = true;
   sfo = sfo_new (&so);
   Configure (1);
   for (uint32_t k = 0; k < n_instances; k++)
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -116,6 +116,8 @@
   bool store_up = true;
   bool store_silent = false; // claims get no reply
   bool promotions_fail = false;
+  // The reply to a promotion is lost, and the promotion too, if positive.
+  int64_t promotions_lost_after_us = 0;
   bool objectives = true;   // the routes have latency objectives
   bool homes_reach = false; // relay paths to unresponsive instances work
   // Homes refuse statements for unresponsive instances once these have waited.
--- a/tests/unit/sessionfailover_test.cc
+++ b/tests/unit/sessionfailover_test.cc
@@ -740,4 +740,101 @@
       ExpectNoBreach (w);
     }
 }
+
+// Another proxy takes the claim and promotes REPLICA, and this one does not
+// hear of it.
+void
+PromoteElsewhere (PoolWorld *w, const char *replica)
+{
+  uint64_t token = ++w->revision;
+
+  dbm_note_token (w->group, token);
+  dbm_promote (w->group, replica, token, w->now_us);
+}
+
+// Guards against a promotion with an outdated claim: where the platform does
+// not check tokens, a proxy that was cut off from the store promoted with the
+// claim of before, after another one with a newer claim.
+TEST (SessionFailover, OutdatedTokenIsNotUsedWhereNoneIsChecked)
+{
+  struct
+  {
+    const char *what;
+    void (*fault) (PoolWorld *w); // with the loss of the primary
+    int64_t elsewhere_us;         // another proxy promotes so much later
+    size_t promotions;            // by this proxy, if tokens are checked
+    size_t unchecked;             // the same, if they are not
+  } const cases[] = {
+    { "the store answers", [] (PoolWorld *) {}, 0, 1, 1 },
+    { "the store is silent", [] (PoolWorld *w) { w->store_silent = true; },
+      300000, 1, 0 },
+    { "the store refuses", [] (PoolWorld *w) { w->store_up = false; }, 300000,
+      1, 0 },
+    { "the replies to the promotions are lost, late",
+      [] (PoolWorld *w) { w->promotions_lost_after_us = 800000; }, 2600000, 4,
+      2 },
+  };
+  for (bool checked : { true, false })
+    for (const auto &c : cases)
+      {
+        PoolWorld w (62);
+        w.group->ignores_fences = !checked;
+        sfo_set_tokens_checked (w.sfo, checked);
+        Caller *x = w.Open ("fresh");
+        EXPECT_EQ (w.Execute (x, STM_WRITE, nullptr, "a 1"), "ok");
+        for (int n = 0; n < 20; n++)
+          w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+        w.Run (500000);
+        c.fault (&w);
+        Crash (&w, "i-0");
+        if (c.elsewhere_us > 0)
+          w.At (c.elsewhere_us, [&w] { PromoteElsewhere (&w, "i-2"); });
+        for (int n = 0; n < 35; n++)
+          {
+            w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+            w.Run (100000);
+          }
+        EXPECT_EQ (w.promoted.size (), checked ? c.promotions : c.unchecked)
+            << c.what << checked;
+        EXPECT_EQ (w.group->violations, 0u)
+            << c.what << checked << w.group->first_violation;
+      }
+}
+
+// The same fault where the process is paused between its claim and the
+// promotion: another proxy has claimed and promoted meanwhile.
+TEST (SessionFailover, TokenExpiresWhileTheProcessIsPaused)
+{
+  for (int64_t paused_us : { 0, 3000000 })
+    {
+      PoolWorld w (63);
+      w.group->ignores_fences = true;
+      sfo_set_tokens_checked (w.sfo, false);
+      Caller *x = w.Open ("fresh");
+      EXPECT_EQ (w.Execute (x, STM_WRITE, nullptr, "a 1"), "ok");
+      for (int n = 0; n < 20; n++)
+        w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+      plr_request_status (
+          w.pooler,
+          (struct svc *)g_hash_table_lookup (plr_services (w.pooler), "stock"),
+          w.now_us);
+      w.Run (100000);
+      // The primary steps down after the claim, and no replica catches up.
+      w.group->instances[1].isolated = w.group->instances[2].isolated = true;
+      EXPECT_EQ (w.Execute (x, STM_WRITE, nullptr, "a 2"), "ok");
+      w.Register (&w.group->instances[0], true);
+      for (int n = 0; n < 400 && w.group->instances[0].primary; n++)
+        w.Run (5000);
+      ASSERT_FALSE (w.group->instances[0].primary);
+      ASSERT_TRUE (w.promoted.empty ());
+      if (paused_us > 0)
+        {
+          w.now_us += paused_us;
+          PromoteElsewhere (&w, "i-2");
+        }
+      w.Run (500000);
+      EXPECT_EQ (w.promoted.size (), paused_us > 0 ? 0u : 1u);
+      EXPECT_EQ (w.group->violations, 0u) << w.group->first_violation;
+    }
+}
 } // namespace
