A planned stop answers every statement before the process ends

Cause: sessions may send until 3.8 s after the signal, but the process ended 0.5 s before the end of the grace period with whatever was under way. A transaction without a statement could send its first one until then, output that a socket had not taken was dropped, and with a grace period under 3.8 s no session was drained.

Ruled out: closing idle sessions earlier. It would shorten the stage in which a session is closed right after a reply, and a write sent at that moment would meet a closed connection.

Change: the stages are planned in core/drain.c from the grace period. 0.2 s before its end each statement under way is answered with what is known of it and later ones are refused; the process ends once the sockets have taken all answers, 0.05 s before the end at the latest. Transactions that are idle are aborted whether or not they hold a connection. The sessions to drain are searched anew after each step, since one step may end another session.

--- a/packages/adapters/stream.c
+++ b/packages/adapters/stream.c
@@ -33,6 +33,7 @@
 stream_set_init (struct stream_set *set, struct loop *loop)
 {
   set->loop = loop;
+  set->n_lingering = 0;
   set->dirty = g_ptr_array_new ();
   set->dead = g_ptr_array_new ();
 }
@@ -68,6 +69,7 @@
   if (s->closed)
     return;
   s->closed = true;
+  s->set->n_lingering -= s->linger ? 1 : 0;
   if (s->source.fd >= 0)
     {
       loop_remove (s->set->loop, &s->source);
@@ -342,9 +344,16 @@
       return;
     }
   s->linger = true;
+  s->set->n_lingering++;
   mark_dirty (s);
 }
 
+uint32_t
+stream_set_count_lingering (const struct stream_set *set)
+{
+  return set->n_lingering;
+}
+
 void
 stream_set_flush (struct stream_set *set)
 {
--- a/packages/adapters/stream.h
+++ b/packages/adapters/stream.h
@@ -20,7 +20,8 @@
   struct loop *loop;
   GPtrArray *dirty; /* streams with output or a failure to handle at the end
                        of the iteration */
-  GPtrArray *dead;  /* closed streams, freed at the end of the iteration */
+  uint32_t n_lingering; /* closed by their owner, with output to send */
+  GPtrArray *dead;      /* closed streams, freed at the end of the iteration */
 };
 
 struct stream_ops
@@ -49,6 +50,10 @@
    iteration of the loop.  */
 void stream_set_flush (struct stream_set *set);
 
+/* Returns the number of streams that were closed and still have output to
+   send.  */
+uint32_t stream_set_count_lingering (const struct stream_set *set);
+
 /* Creates a stream on the connected descriptor FD, which it then owns.  */
 struct stream *stream_new (struct stream_set *set, int fd,
                            const struct stream_options *options);
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -336,10 +336,13 @@
               now_us);
       return;
     }
-  if (g_queue_get_length (&s->work.svc->waiting) >= WAITING_MAX && !s->link)
+  if (p->drain == PLR_DRAIN_END
+      || (g_queue_get_length (&s->work.svc->waiting) >= WAITING_MAX
+          && !s->link))
     {
-      reject (p, s, statement, RFS_QUEUE_FULL, SQC_BUSY,
-              s->state == STM_OPEN ? STM_FAILED : STM_IDLE, now_us);
+      reject (p, s, statement,
+              p->drain == PLR_DRAIN_END ? RFS_STOPPING : RFS_QUEUE_FULL,
+              SQC_BUSY, s->state == STM_OPEN ? STM_FAILED : STM_IDLE, now_us);
       return;
     }
   plr_accept_statement (p, s, statement, writes, now_us);
@@ -417,24 +420,57 @@
     p->options.callers->ops->close_session (p->options.callers, s->tag);
 }
 
+/* Returns true if S is to be closed: nothing is under way on it, or it is of
+   another proxy.  */
+static bool
+is_to_close (const struct ses *s, enum plr_drain drain)
+{
+  return drain >= PLR_DRAIN_IDLE
+         && (!is_busy (s) || (drain >= PLR_DRAIN_ALL && s->relay_instance));
+}
+
+/* Returns true if the transaction of S is to be aborted: no statement is under
+   way.  Also if it holds no connection yet, since its first statement may take
+   longer than there is time.  */
+static bool
+is_to_abort (const struct ses *s, enum plr_drain drain)
+{
+  return drain >= PLR_DRAIN_ALL && s->stage == SES_IDLE && s->state == STM_OPEN
+         && !s->work.link_lost;
+}
+
+/* Returns a session that is to be closed or whose transaction is to be
+   aborted, or NULL.  */
+static struct ses *
+find_to_drain (const struct plr *p, enum plr_drain drain)
+{
+  for (const GList *l = p->sessions.head; l; l = l->next)
+    if (is_to_close (l->data, drain) || is_to_abort (l->data, drain))
+      return l->data;
+  return NULL;
+}
+
+static void
+abort_idle_transaction (struct plr *p, struct ses *s, int64_t now_us)
+{
+  s->work.link_lost = true;
+  plr_release_link (p, s, now_us);
+}
+
 void
 plr_drain (struct plr *p, enum plr_drain drain, int64_t now_us)
 {
-  GList *next;
+  struct ses *s;
 
   p->drain = drain;
-  for (GList *l = p->sessions.head; l && drain >= PLR_DRAIN_IDLE; l = next)
+  /* Each step may end other sessions too, so the search starts anew.  */
+  while ((s = find_to_drain (p, drain)))
     {
-      struct ses *s = l->data;
-      bool force = drain == PLR_DRAIN_ALL;
-
-      next = l->next;
-      if (!is_busy (s) || (force && s->relay_instance))
+      if (is_to_close (s, drain))
         p->options.callers->ops->close_session (p->options.callers, s->tag);
-      else if (force && s->stage == SES_IDLE && s->link)
-        {
-          s->work.link_lost = true;
-          plr_release_link (p, s, now_us);
-        }
+      else
+        abort_idle_transaction (p, s, now_us);
     }
+  while (drain >= PLR_DRAIN_END && p->active.head)
+    plr_stop_statement (p, p->active.head->data, now_us);
 }
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -156,7 +156,10 @@
      other time might cut off.  */
   PLR_DRAIN_AFTER_REPLY,
   PLR_DRAIN_IDLE, /* idle sessions are closed at once */
-  PLR_DRAIN_ALL   /* idle transactions are aborted and relay sessions closed */
+  PLR_DRAIN_ALL,  /* idle transactions are aborted and relay sessions closed */
+  /* Statements under way are ended with what is known of them, and no further
+     one is accepted: the process ends before their replies.  */
+  PLR_DRAIN_END
 };
 
 /* Enters stage DRAIN.  */
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -99,6 +99,8 @@
 void plr_free_closed_links (struct plr *p);
 /* Ends the statement of S, whose time limit has passed, with an error.  */
 void plr_time_out (struct plr *p, struct ses *s, int64_t now_us);
+/* Ends the statement of S since the process ends.  */
+void plr_stop_statement (struct plr *p, struct ses *s, int64_t now_us);
 /* The reply to the statement of S is taken as lost: closes the connection, and
    retries the statement or aborts its transaction.  Not for writes and commits
    whose effect cannot be undone.  */
--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -695,20 +695,16 @@
   plr_close_link (p, link, now_us);
 }
 
-void
-plr_time_out (struct plr *p, struct ses *s, int64_t now_us)
+/* Ends the statement of S, whose reply is not waited for any longer, for
+   reason WHY.  UNKNOWN is the code of one whose effect is not known.  */
+static void
+give_up (struct plr *p, struct ses *s, enum rfs why, enum sqc unknown,
+         int64_t now_us)
 {
   struct ul *link = s->link;
   bool read = !s->work.transaction && !s->writes;
   bool commit_unknown = s->statement.kind == STM_COMMIT && s->work.wrote;
 
-  if (!link)
-    {
-      plr_refuse (p, s,
-                  s->work.svc->primary ? RFS_QUEUE_TIMEOUT : RFS_NO_PRIMARY,
-                  SQC_BUSY, now_us);
-      return;
-    }
   /* A late reply may still arrive, so the connection cannot be reused.  */
   link->retiring = true;
   link->instance->n_in_use--;
@@ -716,8 +712,28 @@
   s->link = NULL;
   s->avoid = link->instance;
   if (read || (s->work.transaction && !commit_unknown) || s->awaits_begin)
-    plr_refuse (p, s, RFS_UPSTREAM_TIMEOUT, SQC_ABORTED, now_us);
+    plr_refuse (p, s, why, SQC_ABORTED, now_us);
   else
-    plr_refuse (p, s, RFS_UPSTREAM_TIMEOUT, SQC_TIMEOUT, now_us);
+    plr_refuse (p, s, why, unknown, now_us);
   plr_close_link (p, link, now_us);
 }
+
+void
+plr_time_out (struct plr *p, struct ses *s, int64_t now_us)
+{
+  if (s->link)
+    give_up (p, s, RFS_UPSTREAM_TIMEOUT, SQC_TIMEOUT, now_us);
+  else
+    plr_refuse (p, s,
+                s->work.svc->primary ? RFS_QUEUE_TIMEOUT : RFS_NO_PRIMARY,
+                SQC_BUSY, now_us);
+}
+
+void
+plr_stop_statement (struct plr *p, struct ses *s, int64_t now_us)
+{
+  if (s->link)
+    give_up (p, s, RFS_STOPPING, SQC_UNKNOWN, now_us);
+  else
+    plr_refuse (p, s, RFS_STOPPING, SQC_BUSY, now_us);
+}
--- a/tests/unit/pooler_test.cc
+++ b/tests/unit/pooler_test.cc
@@ -2,6 +2,11 @@
 // guarantees, which the model checks for every statement.
 #include "poolworld.h"
 
+extern "C"
+{
+#include "drain.h"
+}
+
 #include <gtest/gtest.h>
 
 namespace
@@ -512,6 +517,146 @@
   ExpectNoBreach (w);
 }
 
+TEST (Pooler, StagesOfADrain)
+{
+  for (int64_t grace_us : { 500000, 1000000, 2500000, 5750000, 6000000,
+                            6500000, 10000000, 30000000, 600000000 })
+    {
+      struct drn_timetable t = drn_plan (grace_us);
+      struct
+      {
+        int64_t from_us;
+        enum plr_drain stage;
+      } const stages[]
+          = { { 0, PLR_DRAIN_NONE },
+              { t.start_us, PLR_DRAIN_AFTER_REPLY },
+              { t.idle_us, t.idle_us < t.transactions_us ? PLR_DRAIN_IDLE
+                                                         : PLR_DRAIN_ALL },
+              { t.transactions_us, PLR_DRAIN_ALL },
+              { t.end_us, PLR_DRAIN_END },
+              { grace_us, PLR_DRAIN_END } };
+
+      EXPECT_GE (t.transactions_us, grace_us / 2) << grace_us;
+      EXPECT_LT (t.transactions_us, t.end_us) << grace_us;
+      EXPECT_LT (t.end_us, t.exit_us) << grace_us;
+      EXPECT_LT (t.exit_us, grace_us) << grace_us;
+      for (const auto &s : stages)
+        EXPECT_EQ (drn_stage (&t, s.from_us), s.stage)
+            << grace_us << " " << s.from_us;
+    }
+}
+
+// What a caller sends while the process stops.
+enum LateStatement
+{
+  LATE_WRITE,
+  LATE_READ,
+  LATE_FIRST_OF_TRANSACTION,
+  LATE_COMMIT,
+  LATE_KINDS
+};
+
+enum stm_kind
+StatementOf (enum LateStatement kind)
+{
+  if (kind == LATE_READ)
+    return STM_READ;
+  return kind == LATE_COMMIT ? STM_COMMIT : STM_WRITE;
+}
+
+// A process is told to stop; a statement of KIND follows after SENT_US.
+// Returns what its caller gets, "closed" if its session was closed before.
+std::string
+StopAndSend (enum LateStatement kind, int64_t grace_us, int64_t sent_us,
+             int64_t work_us, bool primary_lost)
+{
+  PoolWorld w (16);
+  struct drn_timetable t = drn_plan (grace_us);
+  w.timeout_us = 3000000;
+  w.Configure (2);
+  Caller *c = w.Open ("fresh");
+  EXPECT_EQ (w.Execute (c, STM_WRITE, nullptr, "a 1"), "ok");
+  if (kind >= LATE_FIRST_OF_TRANSACTION)
+    w.Execute (c, STM_BEGIN);
+  if (kind == LATE_COMMIT)
+    {
+      EXPECT_EQ (w.Execute (c, STM_WRITE, nullptr, "a 1"), "ok");
+    }
+  int64_t stop_us = w.now_us;
+  bool sent = false;
+  while (w.now_us < stop_us + t.exit_us)
+    {
+      int64_t since_us = w.now_us - stop_us;
+      enum plr_drain stage = drn_stage (&t, since_us);
+
+      if (stage != PLR_DRAIN_NONE)
+        plr_drain (w.pooler, stage, w.now_us);
+      if (!sent && since_us >= sent_us && c->session)
+        {
+          w.faults.work_us = work_us;
+          w.unresponsive["i-0"] = primary_lost;
+          w.Send (c, StatementOf (kind), nullptr,
+                  kind == LATE_COMMIT ? nullptr : "a 2");
+          sent = true;
+        }
+      w.Run (10000);
+    }
+  EXPECT_EQ (w.group->violations, 0u) << w.group->first_violation;
+  if (!sent)
+    return "closed";
+  return c->busy ? "cut off" : c->last;
+}
+
+// Guards against a statement whose answer is cut off by the end of the
+// process: it ended while statements were under way, 0.5 s before it had to,
+// and a transaction without a connection could send its first one until then.
+TEST (Pooler, EveryStatementIsAnsweredBeforeTheProcessEnds)
+{
+  for (int64_t grace_us : { 1000000, 2500000, 6000000, 6500000, 12000000 })
+    for (int64_t sent_us = 0; sent_us < grace_us; sent_us += grace_us / 23)
+      for (int64_t work_us : { 5000, 300000, 2300000 })
+        for (bool primary_lost : { false, true })
+          for (int kind = 0; kind < LATE_KINDS; kind++)
+            EXPECT_NE (StopAndSend ((enum LateStatement)kind, grace_us,
+                                    sent_us, work_us, primary_lost),
+                       "cut off")
+                << "grace " << grace_us << " sent " << sent_us << " work "
+                << work_us << " kind " << kind;
+}
+
+TEST (Pooler, StatementsThatEndWithTheProcess)
+{
+  static const struct
+  {
+    const char *what;
+    enum LateStatement kind;
+    int64_t sent_us;
+    int64_t work_us;
+    bool primary_lost;
+    const char *result;
+  } cases[] = {
+    { "a write with its answer due in the grace period", LATE_WRITE, 3400000,
+      2300000, false, "ok" },
+    { "one with its answer due after it", LATE_WRITE, 3700000, 2300000, false,
+      "unknown" },
+    { "a read with its answer due after it", LATE_READ, 3700000, 2300000,
+      false, "aborted" },
+    { "a write that the primary does not answer", LATE_WRITE, 3700000, 5000,
+      true, "unknown" },
+    { "a commit in the first half", LATE_COMMIT, 2900000, 5000, false, "ok" },
+    { "the first statement of a transaction, too late",
+      LATE_FIRST_OF_TRANSACTION, 5200000, 100000, false, "aborted" },
+    { "a commit, too late", LATE_COMMIT, 5200000, 5000, false, "aborted" },
+    { "a session idle for too long", LATE_WRITE, 4000000, 5000, false,
+      "closed" },
+  };
+  for (const auto &c : cases)
+    EXPECT_EQ (
+        StopAndSend (c.kind, 6000000, c.sent_us, c.work_us, c.primary_lost),
+        c.result)
+        << c.what;
+}
+
 // Runs 900 random steps of callers and faults from one seed, ends the faults,
 // and checks that every statement got its reply and that writes succeed again.
 void
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -370,7 +370,6 @@
   r->service = g_strdup ("stock");
   r->reads = reads;
   r->max_age_us = max_age_us;
-  r->timeout_us = 800000;
   return r;
 }
 } // namespace
@@ -484,6 +483,7 @@
         struct dir_route *route = Route (r.database, r.reads, r.max_age_us);
 
         route->objective_us = objectives ? r.objective_us : 0;
+        route->timeout_us = timeout_us;
         dir_config_add_route (c, route);
       }
   c->transaction_idle_us = 3000000;
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -118,8 +118,9 @@
   bool promotions_fail = false;
   // The reply to a promotion is lost, and the promotion too, if positive.
   int64_t promotions_lost_after_us = 0;
-  bool objectives = true;   // the routes have latency objectives
-  bool homes_reach = false; // relay paths to unresponsive instances work
+  bool objectives = true;      // the routes have latency objectives
+  int64_t timeout_us = 800000; // of a statement, of the routes
+  bool homes_reach = false;    // relay paths to unresponsive instances work
   // Homes refuse statements for unresponsive instances once these have waited.
   bool homes_refuse = false;
   uint32_t votes_reached = 0;
