Settings: numbers may have a fraction, and a wrong one has a default

Cause: the limits were read as whole numbers, though the page has fractions, and any finding refused the whole file, also for a value that has a default.

Ruled out: the reload, which kept the previous settings as intended.

Change: numbers of bounds and limits may have a fraction. The limits of a changed file are applied at once: a shorter grace period was overrun until the restart.

--- a/packages/core/feed.c
+++ b/packages/core/feed.c
@@ -51,6 +51,12 @@
   return f;
 }
 
+void
+fed_set_stale (struct fed *f, int64_t stale_us)
+{
+  f->o.stale_us = stale_us;
+}
+
 void
 fed_free (struct fed *f)
 {
--- a/packages/core/feed.h
+++ b/packages/core/feed.h
@@ -33,6 +33,8 @@
 
 struct fed *fed_new (const struct fed_options *options);
 void fed_free (struct fed *f);
+/* Changes struct fed_options.stale_us.  */
+void fed_set_stale (struct fed *f, int64_t stale_us);
 
 /* Returns true if this proxy watches the store: either as a feeder, or because
    its data centre has so few proxies that each one does.  */
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -78,6 +78,18 @@
   return s;
 }
 
+void
+plr_set_drain_grace (struct plr *p, int64_t drain_grace_us)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  p->options.drain_grace_us = drain_grace_us;
+  g_hash_table_iter_init (&iter, p->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    ((struct svc *)service)->drain_grace_us = drain_grace_us;
+}
+
 struct svc_instance *
 plr_find_instance (const struct plr *p, const char *service, const char *id)
 {
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -60,6 +60,8 @@
 bool plr_configure (struct plr *p, struct dir_config *config, int64_t now_us);
 /* Version of the configuration in force, 0 before the first.  */
 uint64_t plr_config_version (const struct plr *p);
+/* Changes struct plr_options.drain_grace_us.  */
+void plr_set_drain_grace (struct plr *p, int64_t drain_grace_us);
 /* Adds INSTANCE, or updates its directory entry.  INSTANCE is copied.  */
 void plr_register_instance (struct plr *p, const struct dir_instance *instance,
                             int64_t now_us);
--- a/packages/core/yamldoc.c
+++ b/packages/core/yamldoc.c
@@ -258,6 +258,28 @@
   return fallback;
 }
 
+double
+yml_get_number (struct yml_doc *doc, yml_node *map, const char *where,
+                const char *key, double min, double max, double fallback)
+{
+  yml_node *node = yml_get (doc, map, key);
+  char *end = NULL;
+  double value;
+
+  if (!node)
+    return fallback;
+  if (node->type == YAML_SCALAR_NODE && node->data.scalar.length > 0)
+    {
+      value = g_ascii_strtod (scalar_text (node), &end);
+      /* Not a number is in no range.  */
+      if (*end == '\0' && value >= min && value <= max)
+        return value;
+    }
+  fnd_add (doc->findings, doc->file, yml_line (node),
+           "%s: %s must be a number from %g to %g", where, key, min, max);
+  return fallback;
+}
+
 int32_t
 yml_get_choice (struct yml_doc *doc, yml_node *map, const char *where,
                 const char *key, const char *const *choices, int32_t fallback)
--- a/packages/core/yamldoc.h
+++ b/packages/core/yamldoc.h
@@ -54,6 +54,10 @@
 int64_t yml_get_int (struct yml_doc *doc, yml_node *map, const char *where,
                      const char *key, int64_t min, int64_t max,
                      int64_t fallback);
+/* The same for a number that may have a fraction.  */
+double yml_get_number (struct yml_doc *doc, yml_node *map, const char *where,
+                       const char *key, double min, double max,
+                       double fallback);
 /* Returns the index of KEY's text in the NULL-terminated CHOICES; FALLBACK
    when absent; FALLBACK with a finding when it is none of them.  */
 int32_t yml_get_choice (struct yml_doc *doc, yml_node *map, const char *where,
