Odd entries of other writers stop neither the listing nor the watch

What other operators saw: after another writer left one odd entry among those of the instances (deeply nested, a number too large, a port out of range) the machines that read the list ended, or stopped following it.

By its key an entry could stop the list: the last key of a page was put into the next query as it is, so that with a blank, %, &, + or # no process got ready; a NUL byte made the whole reply unreadable. On related paths, an id, service or data centre with a line end was written to the instance as a line of its own, and a service that no configuration has was given a failover, which opened connections to the address in the entry.

--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -104,6 +104,12 @@
   return p->services;
 }
 
+bool
+plr_is_configured (const struct plr *p, const char *service)
+{
+  return dir_find_service (p->config, service) != NULL;
+}
+
 uint64_t
 plr_config_version (const struct plr *p)
 {
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -58,6 +58,8 @@
 /* Takes ownership of CONFIG.  Applies it if its version is newer than the
    current one, else frees it.  Returns whether it was applied.  */
 bool plr_configure (struct plr *p, struct dir_config *config, int64_t now_us);
+/* Returns true if the configuration in force has SERVICE.  */
+bool plr_is_configured (const struct plr *p, const char *service);
 /* Version of the configuration in force, 0 before the first.  */
 uint64_t plr_config_version (const struct plr *p);
 /* Changes struct plr_options.drain_grace_us.  */
--- a/packages/core/poolerwatch.c
+++ b/packages/core/poolerwatch.c
@@ -410,7 +410,7 @@
 static void
 watch_service (struct plr *p, struct svc *s, int64_t now_us)
 {
-  if (now_us - s->last_used_us > WATCH_AFTER_USE_US)
+  if (s->last_used_us == 0 || now_us - s->last_used_us > WATCH_AFTER_USE_US)
     return;
   plr_update_homes (p, s);
   for (guint n = s->instances->len; n > 0; n--)
--- a/packages/core/service.h
+++ b/packages/core/service.h
@@ -115,7 +115,7 @@
   GQueue waiting;             /* struct ses *, by rank and arrival */
   GHashTable *voters;         /* names, see plr_voters; NULL: all proxies */
   uint64_t voters_generation; /* of the proxies that VOTERS is chosen from */
-  int64_t last_used_us;       /* by a session */
+  int64_t last_used_us;       /* by a session; 0 = never, nor configured */
   int64_t last_probe_us;      /* to find or confirm the primary */
   int64_t pressure_logged_us; /* the waiting statements were last logged */
   int64_t drain_grace_us;     /* a draining primary stays in use so long */
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -836,7 +836,10 @@
       struct sfo_service *sv = get_service (s, name);
       GHashTable *voters;
 
-      if (sv->svc->instances->len == 0)
+      /* An entry of another writer may name a service that no configuration
+         has.  */
+      if (sv->svc->instances->len == 0
+          || !plr_is_configured (s->o.pooler, name))
         continue;
       voters = plr_voters (s->o.pooler, sv->svc);
       tick_service (sv, voters ? voters : vms, now_us);
--- a/tests/fakes/kvstore.c
+++ b/tests/fakes/kvstore.c
@@ -11,6 +11,7 @@
 #define SLOW_MS 300
 /* Longer than clients wait for a reply.  */
 #define SILENT_MS 3000
+#define PAGE_SIZE_DEFAULT 500
 #define POLL_MS 50
 
 struct item
@@ -35,6 +36,7 @@
   GHashTable *leases;     /* id -> int64_t *, expiry time in us */
   GHashTable *lease_ttls; /* id -> int64_t *, time to live in us */
   enum kvs_fault fault;
+  uint32_t page_size; /* items of one page of a listing */
   bool stopping;
   kvs_promote_fn *promote;
   void *arg;
@@ -202,21 +204,45 @@
   return i ? 200 : 404;
 }
 
+static gint
+compare_keys (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Returns the keys with PREFIX that come after AFTER, in order.  */
+static GPtrArray *
+list_keys (struct kvs *s, const char *prefix, const char *after)
+{
+  GPtrArray *keys = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, s->items);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (g_str_has_prefix (key, prefix) && strcmp (key, after) > 0)
+      g_ptr_array_add (keys, key);
+  g_ptr_array_sort (keys, compare_keys);
+  return keys;
+}
+
 static int
 get_range (struct kvs *s, struct mg_connection *c, json_t **reply_body)
 {
   char *prefix = query_text (c, "prefix");
+  char *after = query_text (c, "after");
+  GPtrArray *keys = list_keys (s, prefix, after);
   json_t *items = json_array ();
-  GHashTableIter iter;
-  gpointer value;
+  guint n = MIN (keys->len, s->page_size);
 
-  g_hash_table_iter_init (&iter, s->items);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (g_str_has_prefix (((struct item *)value)->key, prefix))
-      json_array_append_new (items, item_json (value));
+  for (guint k = 0; k < n; k++)
+    json_array_append_new (items, item_json (g_hash_table_lookup (
+                                      s->items, g_ptr_array_index (keys, k))));
+  *reply_body = json_pack ("{s:o,s:b,s:I}", "items", items, "hasMore",
+                           n < keys->len, "atRev", (json_int_t)s->revision);
+  g_ptr_array_free (keys, TRUE);
   g_free (prefix);
-  *reply_body = json_pack ("{s:o,s:b,s:I}", "items", items, "hasMore", 0,
-                           "atRev", (json_int_t)s->revision);
+  g_free (after);
   return 200;
 }
 
@@ -437,6 +463,7 @@
   g_mutex_init (&s->lock);
   g_cond_init (&s->changed);
   s->revision = 10;
+  s->page_size = PAGE_SIZE_DEFAULT;
   s->items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
   s->history = g_ptr_array_new_with_free_func (free_item);
   s->leases = g_hash_table_new_full (NULL, NULL, NULL, g_free);
@@ -471,6 +498,14 @@
   g_free (s);
 }
 
+void
+kvs_set_page_size (struct kvs *s, uint32_t items)
+{
+  g_mutex_lock (&s->lock);
+  s->page_size = items;
+  g_mutex_unlock (&s->lock);
+}
+
 void
 kvs_set_fault (struct kvs *s, enum kvs_fault fault)
 {
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -90,7 +90,8 @@
 void
 FinishOpening (PoolWorld *w, UpConn *u)
 {
-  if (!u->open)
+  // No instance of the model: nothing replies at this address.
+  if (!u->open || !u->instance)
     return;
   if (w->IsUnresponsive (u))
     return;
--- /dev/null
+++ b/tests/unit/registry_test.cc
@@ -0,0 +1,268 @@
+// The registry against the fake of the platform's store, over HTTP on
+// loopback.
+#include <glib.h>
+extern "C"
+{
+#include "kvstore.h"
+#include "registryint.h"
+}
+#include <gtest/gtest.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace
+{
+const char kListen[] = "127.0.0.1:19471";
+const char kUrl[] = "http://127.0.0.1:19471";
+// Longest wait for the registry, far beyond what it takes.
+const int64_t kWaitUs = 20000000;
+
+std::string
+Instance (const std::string &more = "")
+{
+  return "{\"service\":\"s\",\"address\":\"10.1.0.9:80\",\"zone\":\"z\","
+         "\"slots\":2,\"state\":\"ready\",\"dbRole\":\"replica\",\"seq\":4,"
+         "\"born\":1700"
+         + more + "}";
+}
+
+// A registry, its event loop and what it reported.
+struct World
+{
+  struct loop loop;
+  struct kvs *store;
+  struct http_client *client;
+  struct vmt_table vms;
+  struct fed *feed;
+  struct registry *registry;
+  struct ctr_set *counters;
+  GHashTable *regions;
+  std::set<std::string> instances;
+  bool loaded = false;
+
+  explicit World (uint32_t page_size);
+  ~World ();
+  // Runs the loop until DONE; false after kWaitUs.
+  template <typename F> bool RunUntil (F done);
+};
+
+void
+OnInstance (void *arg, struct dir_instance *i)
+{
+  ((World *)arg)->instances.insert (i->id);
+  dir_instance_free (i);
+}
+
+void
+OnInstanceGone (void *arg, const char *id)
+{
+  ((World *)arg)->instances.erase (id);
+}
+
+struct registry_sink
+Sink (World *w)
+{
+  struct registry_sink s = {};
+
+  s.config = [] (void *, struct dir_config *c) { dir_config_free (c); };
+  s.instance = OnInstance;
+  s.instance_gone = OnInstanceGone;
+  s.loaded = [] (void *arg, bool) { ((World *)arg)->loaded = true; };
+  s.reachable = [] (void *, bool) {};
+  s.vm = [] (void *, const struct cluster_vm *) {};
+  s.vm_gone = [] (void *, const char *) {};
+  s.claim = [] (void *, const struct sfo_claim *) {};
+  s.claim_result = [] (void *, const char *, uint64_t, bool) {};
+  s.arg = w;
+  return s;
+}
+
+World::World (uint32_t page_size)
+{
+  struct registry_options o = {};
+  struct fed_options fo = {};
+
+  counters = g_new0 (struct ctr_set, 1);
+  regions = g_hash_table_new (g_str_hash, g_str_equal);
+  EXPECT_TRUE (loop_init (&loop));
+  store = kvs_new (kListen, nullptr, nullptr);
+  EXPECT_NE (store, nullptr);
+  kvs_set_page_size (store, page_size);
+  client = hcl_new (&loop);
+  vmt_init (&vms, "vm-1", regions);
+  fo.vms = &vms;
+  fo.vm = "vm-1";
+  fo.data_centre = "a";
+  fo.stale_us = 1500000;
+  feed = fed_new (&fo);
+  o.client = client;
+  o.sink = Sink (this);
+  o.counters = counters;
+  o.store_url = kUrl;
+  o.feed = feed;
+  o.self.name = "vm-1";
+  o.self.address = "127.0.0.1:1";
+  o.self.relay_address = "127.0.0.1:2";
+  o.self.data_centre = "a";
+  o.config_ms = 3000;
+  registry = registry_new (&o, loop_now_us ());
+}
+
+World::~World ()
+{
+  hcl_free (client);
+  registry_free (registry);
+  fed_free (feed);
+  vmt_free (&vms);
+  kvs_free (store);
+  loop_free (&loop);
+  g_hash_table_destroy (regions);
+  g_free (counters);
+}
+
+template <typename F>
+bool
+World::RunUntil (F done)
+{
+  int64_t end_us = loop_now_us () + kWaitUs;
+
+  while (!done () && loop_now_us () < end_us)
+    {
+      loop_run (&loop, 2000);
+      hcl_turn (client, loop_now_us ());
+      registry_turn (registry, loop_now_us ());
+    }
+  return done ();
+}
+
+// Values that another writer may leave under a key of instances.
+std::vector<std::string>
+OddValues ()
+{
+  const std::string good = Instance ();
+  std::string port = Instance ();
+  std::vector<std::string> values
+      = { "",
+          "{",
+          "null",
+          "[]",
+          "7",
+          "\"x\"",
+          "\xff\xfe",
+          std::string (100000, '['),
+          std::string (100000, '{'),
+          std::string (5000, '[') + std::string (5000, ']'),
+          "{\"a\":" + std::string (100000, '[') };
+  std::string deep = "{\"service\":";
+  for (int n = 0; n < 3000; n++)
+    deep += "{\"service\":";
+  values.push_back (deep + "1" + std::string (3001, '}'));
+  for (const char *number :
+       { "1e400", "-1e400", "99999999999999999999", "1e999999999" })
+    for (const char *field : { "slots", "seq", "born", "coldLeftMs" })
+      values.push_back (
+          Instance (std::string (",\"") + field + "\":" + number));
+  for (const char *address :
+       { "10.1.0.9:0", "10.1.0.9:65536", "10.1.0.9:99999", "10.1.0.9:-1",
+         "10.1.0.9:99999999999999999999", "10.1.0.9:80x",
+         "10.1.0.9:", "10.1.0.9", ":80", "", "[::1:80", "10.1.0.9: 80" })
+    {
+      std::string text = good;
+      text.replace (text.find ("10.1.0.9:80"), 11, address);
+      values.push_back (text);
+    }
+  for (const char *service : { "s\\r\\nQUERY - STEPDOWN 9", "s t", "\\u0000",
+                               "s\\u0000", "\\u007f", "\\u0001" })
+    {
+      std::string text = good;
+      text.replace (text.find ("\"s\""), 3,
+                    std::string ("\"") + service + "\"");
+      values.push_back (text);
+    }
+  return values;
+}
+
+// Keys that another writer may choose: bytes that a query, JSON or the wire
+// protocol gives a meaning.
+const char *const kOddKeys[]
+    = { "servers/",         "servers/a b",       "servers/a%41",
+        "servers/a%",       "servers/a&after=z", "servers/a+b",
+        "servers/a#b",      "servers/a?b=c",     "servers/a/b/../c",
+        "servers/\"q\\",    "servers/a\tb",      "servers/a\r\nGET /",
+        "servers/\x01",     "servers/\x7f",      "servers/\xc3\xa4",
+        "servers/a;b,c=d:e" };
+
+// Guards against machines that end, or stop to follow the list, after another
+// writer left an odd entry: deeply nested, with a number too large, a port out
+// of range, or a key that has a meaning in a query.  Each is at the end of a
+// page once.
+TEST (Registry, OddEntriesStopNeitherTheListingNorTheWatch)
+{
+  for (uint32_t page_size : { 1, 3, 500 })
+    {
+      World w (page_size);
+      std::vector<std::string> values = OddValues ();
+      std::set<std::string> good;
+
+      for (size_t n = 0; n < values.size (); n++)
+        {
+          std::string id = "i-" + std::to_string (100 + n);
+          kvs_put (w.store, ("servers/" + id + "-odd").c_str (),
+                   values[n].c_str ());
+          kvs_put (w.store, ("servers/" + id).c_str (), Instance ().c_str ());
+          good.insert (id);
+        }
+      for (const char *key : kOddKeys)
+        kvs_put (w.store, key, "{}");
+      EXPECT_TRUE (w.RunUntil ([&] { return w.loaded; })) << page_size;
+      EXPECT_EQ (w.instances, good) << page_size;
+
+      // The same by the watch, with a good one last.
+      for (size_t n = 0; n < values.size (); n++)
+        kvs_put (w.store,
+                 ("servers/j-" + std::to_string (100 + n) + "-odd").c_str (),
+                 values[n].c_str ());
+      for (const char *key : kOddKeys)
+        kvs_put (w.store, key, "[]");
+      kvs_put (w.store, "servers/last", Instance ().c_str ());
+      good.insert ("last");
+      EXPECT_TRUE (w.RunUntil ([&] { return w.instances.count ("last") > 0; }))
+          << page_size;
+      EXPECT_EQ (w.instances, good) << page_size;
+    }
+}
+
+// An id that is no word would be a line of its own to the instance.
+TEST (Registry, IdsThatAreNoWordsNameNoInstance)
+{
+  World w (500);
+
+  for (const char *key : kOddKeys)
+    kvs_put (w.store, key, Instance ().c_str ());
+  kvs_put (w.store, "servers/last", Instance ().c_str ());
+  EXPECT_TRUE (w.RunUntil ([&] { return w.loaded; }));
+  for (const std::string &id : w.instances)
+    for (char c : id)
+      EXPECT_TRUE ((unsigned char)c > ' ' && c != '\x7f') << id;
+  EXPECT_EQ (w.instances.count ("last"), 1u);
+  EXPECT_EQ (w.instances.count (""), 0u);
+}
+
+// A NUL byte would end the key or value early and make it that of another
+// item.
+TEST (Registry, TextWithANulByteIsNoItem)
+{
+  World w (500);
+  const std::string text
+      = "{\"key\":\"servers/i-1\\u0000x\",\"value\":\"e30=\",\"revision\":7}";
+  json_t *item
+      = json_loadb (text.data (), text.size (), JSON_ALLOW_NUL, nullptr);
+
+  ASSERT_NE (item, nullptr);
+  w.instances.insert ("i-1");
+  registry_apply_item (w.registry, item);
+  EXPECT_EQ (w.instances.count ("i-1"), 1u);
+  json_decref (item);
+}
+} // namespace
--- a/tests/unit/sessionfailover_test.cc
+++ b/tests/unit/sessionfailover_test.cc
@@ -837,4 +837,29 @@
       EXPECT_EQ (w.group->violations, 0u) << w.group->first_violation;
     }
 }
+
+// Guards against connections to the address in an entry of another writer: its
+// service is none of the configuration, but was given a failover, which looked
+// for its primary.
+TEST (SessionFailover, OnlyConfiguredServicesAreWatched)
+{
+  PoolWorld w (64);
+  struct dir_instance d = {};
+
+  d.id = (char *)"foreign";
+  d.service = (char *)"foreign";
+  d.host = (char *)"10.0.0.7";
+  d.port = 80;
+  d.data_centre = (char *)"a";
+  d.slots = 1;
+  plr_register_instance (w.pooler, &d, w.now_us);
+  for (int n = 0; n < 60; n++)
+    {
+      w.Send (w.Open ("fresh"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  for (const auto &u : w.ups)
+    EXPECT_NE (u->instance, nullptr);
+  EXPECT_TRUE (w.promoted.empty ());
+}
 } // namespace
