Failover of sessions: three files in place of one

The decisions without state go to failoverdecision.c, what follows a claim to promotion.c, and what they share to sessionfailoverint.h, with the prefix of the module.

--- /dev/null
+++ b/packages/core/sessionfailoverint.h
@@ -0,0 +1,127 @@
+/* Shared by the files of the failover on the session path: sessionfailover.c
+   (suspicion, votes and claims ahead of need), failoverdecision.c (decisions
+   without state) and promotion.c (from the claim to the new primary).  */
+#ifndef CB_SESSIONFAILOVERINT_H
+#define CB_SESSIONFAILOVERINT_H
+
+#include "candidate.h"
+#include "sessionfailover.h"
+
+/* Interval of the requests to instances that have not replied yet.  */
+#define STATUS_INTERVAL_US 40000
+/* How long another proxy with a new claim has to promote.  */
+#define OTHER_CLAIM_GRACE_US 1800000
+/* Pause before the next attempt after a failed one.  */
+#define RETRY_PAUSE_US 300000
+
+enum sfo_state
+{
+  SFO_MONITORING,
+  SFO_POLLING_PEERS,
+  SFO_COLLECTING, /* waits for the status of the instances */
+  SFO_CLAIMING_AHEAD,
+  SFO_CLAIMING,
+  SFO_STEPPING_DOWN,
+  SFO_PAUSING, /* waits until the replicas receive nothing any more */
+  SFO_PROMOTING,
+  SFO_PROMOTE_RETRY,
+  SFO_CONFIRMING /* waits until the promoted instance is confirmed primary */
+};
+
+/* The failover state of one service.  */
+struct sfo_service
+{
+  struct sfo *sfo;
+  struct svc *svc;
+  enum sfo_state state;
+  int64_t state_since_us;
+  int64_t act_after_us;       /* no poll or replacement before */
+  int64_t turn_wait_since_us; /* start of the wait by rank, 0 = none */
+  int64_t last_command_us;
+  int64_t resume_after_us;      /* replicas may be paused and are resumed then,
+                                   0 = no */
+  char *primary_id;             /* the last one confirmed or registered */
+  char *target_id;              /* the replica to promote */
+  struct logpos known_position; /* of the primary when SFO_COLLECTING began */
+  uint64_t claim_revision;      /* 0 = no claim known */
+  int64_t promote_claim_us; /* when a claim to promote was last learned of */
+  uint64_t suspicion_claim; /* CLAIM_REVISION when the suspicion arose */
+  char *holder;             /* proxy that took the claim, NULL = unknown */
+  int64_t holder_gone_since_us; /* 0 = the holder is a known voter */
+  int64_t claim_ahead_after_us; /* no claim is taken ahead of need before */
+  uint64_t token;               /* fencing token of the promotion, 0 = none */
+  int64_t claim_requested_us;   /* when TOKEN was */
+  int64_t claim_won_us;
+  uint32_t attempts; /* promotion calls with TOKEN */
+  struct sfo_votes votes;
+  const char *cause; /* of the failover, for the log */
+  bool planned;      /* the primary leaves; it steps down first */
+};
+
+struct sfo
+{
+  struct sfo_options o;
+  GHashTable *services; /* service -> struct sfo_service * */
+};
+
+/* failoverdecision.c */
+
+/* Why the primary is replaced, for the log.  */
+const char *sfo_cause_name (const struct sfo_evidence *e);
+
+/* sessionfailover.c */
+
+/* Returns the state of SERVICE, which is added if new.  */
+struct sfo_service *sfo_get_service (struct sfo *s, const char *service);
+void sfo_set_state (struct sfo_service *sv, enum sfo_state state,
+                    int64_t now_us);
+/* Ends the attempt; no other begins within PAUSE_US.  */
+void sfo_resume_monitoring (struct sfo_service *sv, int64_t pause_us,
+                            int64_t now_us);
+/* True when this proxy took the current claim.  */
+bool sfo_holds_claim (const struct sfo_service *sv);
+void sfo_log_decision (struct sfo_service *sv, const char *what,
+                       int64_t now_us);
+/* The instance that is or should be primary: the last one confirmed, else the
+   one that the directory names.  */
+struct svc_instance *sfo_find_primary (struct sfo_service *sv);
+/* Asks the instances for their status.  Where commits need replicas, all must
+   have replied since SINCE_US; else those are asked that have an idle
+   connection.  */
+void sfo_request_status (struct sfo_service *sv, int64_t since_us,
+                         int64_t now_us);
+/* Sends KIND, a pause or resume, to all instances but the primary.  */
+void sfo_command_replicas (struct sfo_service *sv, enum stm_kind kind,
+                           int64_t now_us);
+/* The replica to promote as far as the reports since the state was entered
+   tell, NULL while they do not suffice or there is none.  */
+struct svc_instance *sfo_choose_target (const struct sfo_service *sv,
+                                        const struct svc_instance *primary,
+                                        bool paused, int64_t now_us);
+/* Returns true if the primary, which leaves, can be told to step down.  */
+bool sfo_can_step_down (const struct sfo_service *sv,
+                        const struct svc_instance *primary);
+/* No replica can be promoted at present: tries again later.  */
+void sfo_hold_promotion (struct sfo_service *sv, int64_t now_us);
+
+/* promotion.c */
+
+/* Calls the platform to promote the target, unless the token is too old.  */
+void sfo_order_promotion (struct sfo_service *sv, int64_t now_us);
+/* Each advances one state.  */
+void sfo_tick_claiming (struct sfo_service *sv, int64_t now_us);
+void sfo_tick_pausing (struct sfo_service *sv,
+                       const struct svc_instance *primary, int64_t now_us);
+void sfo_tick_stepping_down (struct sfo_service *sv,
+                             const struct svc_instance *primary,
+                             int64_t now_us);
+void sfo_tick_confirming (struct sfo_service *sv, int64_t now_us);
+void sfo_tick_promote_retry (struct sfo_service *sv, int64_t now_us);
+/* Some time after a claim to promote the replicas that were paused for it are
+   to receive again: the proxy that paused them may have ended, and the
+   promotion, which resumes them too, may have failed.  */
+void sfo_resume_replicas (struct sfo_service *sv, int64_t now_us);
+/* Notes that replicas may be paused, so that they are resumed later.  */
+void sfo_expect_pause (struct sfo_service *sv, int64_t now_us);
+
+#endif
