--- a/packages/adapters/stream.c
+++ b/packages/adapters/stream.c
@@ -296,21 +296,35 @@
   return s->out;
 }
 
+/* Returns the line feed of the first CR LF in DATA, NULL when there is none.
+   Either character alone is part of a line.  */
+static char *
+find_line_end (char *data, size_t len)
+{
+  char *end = data;
+
+  while ((end = memchr (end, '\n', len - (size_t)(end - data))))
+    {
+      if (end > data && end[-1] == '\r')
+        return end;
+      end++;
+    }
+  return NULL;
+}
+
 /* Terminates the first line of DATA in place and stores it in LINE.  Returns
    the bytes used, 0 when there is no complete line.  */
 static size_t
 split_line (char *data, size_t len, char **line, size_t *line_len)
 {
-  char *end = memchr (data, '\n', len);
-  size_t n;
+  char *end = find_line_end (data, len);
 
   if (!end)
     return 0;
-  n = (size_t)(end - data);
   *line = data;
-  *line_len = n > 0 && data[n - 1] == '\r' ? n - 1 : n;
+  *line_len = (size_t)(end - data) - 1;
   data[*line_len] = '\0';
-  return n + 1;
+  return *line_len + 2;
 }
 
 bool
--- a/packages/adapters/stream.h
+++ b/packages/adapters/stream.h
@@ -70,8 +70,8 @@
 /* Receives a line, NUL-terminated and without its line end.  Returns false to
    stop.  */
 typedef bool stream_line_fn (void *arg, char *line, size_t len);
-/* Calls FN for each complete line of DATA and sets USED to the number of bytes
-   of the lines passed.  Returns false when FN did.  */
+/* Calls FN for each complete line of DATA, which ends in CR LF, and sets USED
+   to the number of bytes of the lines passed.  Returns false when FN did.  */
 bool stream_split_lines (char *data, size_t len, stream_line_fn *fn, void *arg,
                          size_t *used);
 /* Closes the stream without calling CLOSED.  If FLUSH is true, pending output
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -72,6 +72,11 @@
     { "QUERY i", STM_MALFORMED, "(none)", "(none)" },
     { "QUERY", STM_MALFORMED, "(none)", "(none)" },
     { "QUERY  READ a", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i WRITE 1a4 two\nlines", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i WRITE 1a4 two\rlines", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i SET zone a\nb", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i EXECUTE s1 1a4 d\n", STM_MALFORMED, "(none)", "(none)" },
+    { "QUERY i PARSE s1 WRITE q2\rx", STM_MALFORMED, "(none)", "(none)" },
   };
   for (const auto &c : cases)
     {
@@ -100,11 +105,67 @@
     { "HELLO x", CODEC_INVALID },
     { std::string ("QUERY i\0x", 9), CODEC_INVALID },
     { "\xff\xfe", CODEC_INVALID },
+    { "STARTUP db\nQUERY", CODEC_INVALID },
+    { "STARTUP d\rb u1", CODEC_INVALID },
+    { "QUERY i\nj READ a", CODEC_INVALID },
+    { "\nTERMINATE", CODEC_INVALID },
   };
   for (auto c : cases)
     EXPECT_EQ (ReadCaller (c.line).kind, c.kind) << c.line;
 }
 
+// Guards against data of a write that runs as a statement of its own: a line
+// feed alone ended the message, and what followed was read as the next one.
+TEST (LineCodec, OnlyCrLfEndsAMessage)
+{
+  static const struct
+  {
+    const char *input;
+    std::vector<std::string> lines;
+    size_t used;
+  } cases[] = {
+    { "QUERY 1 WRITE a x\nQUERY 2 WRITE b y\r\n",
+      { "QUERY 1 WRITE a x\nQUERY 2 WRITE b y" },
+      37 },
+    { "QUERY 1 WRITE a x\rQUERY 2 WRITE b y\r\n",
+      { "QUERY 1 WRITE a x\rQUERY 2 WRITE b y" },
+      37 },
+    { "QUERY 1 WRITE a x\n\r\n", { "QUERY 1 WRITE a x\n" }, 20 },
+    { "QUERY 1 WRITE a x\r\r\n", { "QUERY 1 WRITE a x\r" }, 20 },
+    { "\r\n", { "" }, 2 },
+    { "\n\r\na\r\n", { "\n", "a" }, 6 },
+    { "a\r\nb\n", { "a" }, 3 },
+    { "a\r", {}, 0 },
+    { "a\n", {}, 0 },
+    { "\n", {}, 0 },
+    { "", {}, 0 },
+  };
+  for (const auto &c : cases)
+    {
+      std::string data = c.input;
+      std::vector<std::string> found;
+      size_t used = 0;
+      auto note = [] (void *arg, char *line, size_t len) {
+        ((std::vector<std::string> *)arg)->emplace_back (line, len);
+        return true;
+      };
+
+      EXPECT_TRUE (stream_split_lines (data.data (), data.size (), note,
+                                       &found, &used));
+      EXPECT_EQ (found, c.lines) << c.input;
+      EXPECT_EQ (used, c.used) << c.input;
+      // None of the lines with a break in it is a statement to run.
+      for (std::string line : found)
+        if (line.find_first_of ("\r\n") != std::string::npos)
+          {
+            EXPECT_EQ (ReadCaller (line).statement.kind == STM_MALFORMED
+                           || ReadCaller (line).kind == CODEC_INVALID,
+                       true)
+                << line;
+          }
+    }
+}
+
 TEST (LineCodec, UpstreamMessages)
 {
   struct
@@ -130,6 +191,9 @@
     { "READY I 1.99999999999999999999", CODEC_READY, SQC_BUSY, STM_IDLE, 0,
       0 },
     { "READY X 1.1", CODEC_MALFORMED, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "COMPLETE 7.1f3\nREADY I -", CODEC_MALFORMED, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "ERROR BUSY a\rb", CODEC_MALFORMED, SQC_BUSY, STM_IDLE, 0, 0 },
+    { "DATAROW a\nb", CODEC_ROW, SQC_BUSY, STM_IDLE, 0, 0 },
     { "READY", CODEC_MALFORMED, SQC_BUSY, STM_IDLE, 0, 0 },
     { "HTTP/1.1 200 OK", CODEC_MALFORMED, SQC_BUSY, STM_IDLE, 0, 0 },
   };
