--- a/packages/core/dir.h
+++ b/packages/core/dir.h
@@ -32,8 +32,8 @@
 {
   char *name;
   int32_t connections_max; /* limit of one instance, for all VMs together */
-  /* The primary acknowledges a commit once so many replicas have received
-     it.  */
+  /* Number of replicas that must have received a commit before the primary
+     acknowledges it.  */
   int32_t sync_replicas;
 };
 
--- a/packages/core/drain.c
+++ b/packages/core/drain.c
@@ -1,21 +1,22 @@
 /* Timetable of a planned stop.  */
 #include "drain.h"
 
-/* Time from the signal to the start of the drain, at most so many parts of the
-   grace period.  Callers still connect until the platform has seen two
+/* Time from the signal to the start of the drain, but no more than this part
+   of the grace period.  Callers still connect until the platform has seen two
    readiness probes fail, one a second; sessions are closed only after that. */
 #define START_US 2300000
 #define START_PERCENT 40
 /* Length of the stage in which each session is closed right after its next
-   reply: a few of a session's usual pauses between statements.  Sessions that
-   stay idle longer are closed after it.  */
+   reply: a few of a session's usual pauses between statements, but no more
+   than this part of the grace period.  Sessions that stay idle longer are
+   closed after it.  */
 #define AFTER_REPLY_US 1500000
 #define AFTER_REPLY_PERCENT 25
 /* Kept of the grace period for the last replies to be sent, and for the
    process to end.  */
 #define END_MARGIN_US 200000
 #define EXIT_MARGIN_US 50000
-/* The same, together, at most.  */
+/* Upper limit of the first margin; that of the second is a quarter of it.  */
 #define MARGIN_PERCENT 20
 
 static int64_t
--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-/* Time from a claim to promote until paused replicas are resumed: more than a
-   promotion takes.  For so long they are told.  */
+/* Time from a claim to promote until paused replicas are resumed, more than a
+   promotion takes, and how long the resume commands are repeated.  */
 #define RESUME_AFTER_US 4000000
 #define RESUME_FOR_US 4000000
 /* Longest wait for the replicas to pause before the failover starts anew.  */
--- a/tests/fakes/dbmodel.h
+++ b/tests/fakes/dbmodel.h
@@ -80,8 +80,8 @@
   struct dbm_instance instances[DBM_INSTANCES_MAX];
   GPtrArray *entries; /* struct dbm_entry *, all ever committed */
   uint32_t term;
-  /* So many replicas must receive a commit before it is acknowledged.  A
-     promotion that loses an acknowledged one is a violation then.  */
+  /* Number of replicas that must receive a commit before it is acknowledged.
+     If positive, a promotion that loses an acknowledged one is a violation. */
   uint32_t sync_replicas;
   uint64_t last_fencing_token;
   bool ignores_fences; /* promotions with a lower token are carried out; to
