A pause that failed once is asked for again

Change: only MALFORMED, or a success without the status, says so. Any other error leaves the pause to be sent again, and no promotion is ordered before all have paused or the attempt is put off.

SessionFailover.FailedPauseIsRepeated failed first (promoted with both replicas not paused) and holds with the change. Reached only where a service sets syncReplicas.

--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -399,13 +399,12 @@
   fail_statement (p, s, result->code, now_us);
 }
 
-/* Returns true if RESULT, the reply to a command, says that it was not carried
-   out this time: the instance had no slot, or a home did not pass it on.  */
+/* Returns true if RESULT, the reply to a command without the status, says that
+   the instance does not know it.  Any other error may pass.  */
 static bool
-is_refused_for_now (const struct stm_result *result)
+is_unknown_command (const struct stm_result *result)
 {
-  return !result->ok
-         && (result->code == SQC_BUSY || result->code == SQC_OVERLOADED);
+  return result->ok || result->code == SQC_MALFORMED;
 }
 
 /* Records the reply to a status query or command.  */
@@ -417,7 +416,7 @@
 
   if (!result->ok || !result->status)
     {
-      if (request->purpose == UL_PAUSE && !is_refused_for_now (result))
+      if (request->purpose == UL_PAUSE && is_unknown_command (result))
         r->refuses_pause = true;
       return;
     }
--- a/tests/fakes/dbmodel.c
+++ b/tests/fakes/dbmodel.c
@@ -526,6 +526,12 @@
         fail_statement (c, result, SQC_MALFORMED);
       return;
     }
+  if (s->kind == STM_PAUSE && i->pauses_to_fail > 0)
+    {
+      i->pauses_to_fail--;
+      fail_statement (c, result, SQC_FAILED);
+      return;
+    }
   if (s->kind == STM_RESUME)
     i->paused = false;
   else if (s->term > i->group->term && !i->primary)
--- a/tests/fakes/dbmodel.h
+++ b/tests/fakes/dbmodel.h
@@ -34,6 +34,7 @@
   bool isolated; /* receives no log entries */
   bool paused;   /* was told to receive none */
   bool knows_pause;
+  uint32_t pauses_to_fail; /* number of the next that fail */
   bool draining;
   int64_t lag_us; /* added to the replication delay */
   GPtrArray *log; /* struct dbm_entry *, owned by the group */
--- a/tests/unit/sessionfailover_test.cc
+++ b/tests/unit/sessionfailover_test.cc
@@ -862,4 +862,27 @@
     EXPECT_NE (u->instance, nullptr);
   EXPECT_TRUE (w.promoted.empty ());
 }
+
+// An error that may pass does not say that an instance cannot pause: it is
+// told again, and no promotion is ordered before.
+TEST (SessionFailover, FailedPauseIsRepeated)
+{
+  PoolWorld w (65);
+  w.group->sync_replicas = 1;
+  w.Configure (2);
+  EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 1"), "ok");
+  w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+  w.group->instances[1].pauses_to_fail = 2;
+  w.group->instances[2].pauses_to_fail = 1;
+  w.unresponsive["i-0"] = true;
+  for (int n = 0; n < 600 && w.promoted.empty (); n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (5000);
+    }
+  EXPECT_EQ (w.promoted.size (), 1u);
+  EXPECT_TRUE (w.group->instances[1].paused);
+  EXPECT_TRUE (w.group->instances[2].paused);
+  ExpectNoBreach (w);
+}
 } // namespace
