--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -123,8 +123,8 @@
 }
 
 struct svc_instance *
-cnd_choose_holder (const struct svc *s, const struct svc_instance *primary,
-                   struct logpos needed, int64_t since_us, int64_t now_us)
+cnd_choose_reported (const struct svc *s, const struct svc_instance *primary,
+                     struct logpos needed, int64_t since_us, int64_t now_us)
 {
   struct svc_instance *best = NULL;
 
@@ -151,10 +151,10 @@
   if (s->sync_replicas == 0)
     return choose_candidate (s, primary, now_us);
   if (is_complete (s, primary, since_us, paused))
-    return cnd_choose_holder (s, primary, LP_NONE, since_us, now_us);
+    return cnd_choose_reported (s, primary, LP_NONE, since_us, now_us);
   if (cnd_has_stepped_down (primary, since_us))
-    return cnd_choose_holder (s, primary, primary->report.received, since_us,
-                              now_us);
+    return cnd_choose_reported (s, primary, primary->report.received, since_us,
+                                now_us);
   return NULL;
 }
 
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -17,7 +17,7 @@
                        const struct svc_instance *primary, int64_t now_us);
 /* Returns true if I has replied of late.  */
 bool cnd_is_reachable (const struct svc_instance *i, int64_t now_us);
-/* The highest position that I is known to hold.  */
+/* Returns the highest position that I is known to hold.  */
 struct logpos cnd_highest_position (const struct svc_instance *i);
 /* Returns true if PRIMARY was a replica when it replied to a request sent at
    or after SINCE_US: its log holds every acknowledged commit, and no more are
@@ -27,10 +27,10 @@
 /* Returns the replica that has received the most, of those that replied to a
    request sent at or after SINCE_US and received NEEDED.  NULL when there is
    none, or when an instance that cannot be promoted has received more.  */
-struct svc_instance *cnd_choose_holder (const struct svc *s,
-                                        const struct svc_instance *primary,
-                                        struct logpos needed, int64_t since_us,
-                                        int64_t now_us);
+struct svc_instance *cnd_choose_reported (const struct svc *s,
+                                          const struct svc_instance *primary,
+                                          struct logpos needed,
+                                          int64_t since_us, int64_t now_us);
 /* Returns the replica to promote in place of PRIMARY (NULL = unknown), NULL
    when there is none.  With sync replicas it is one that holds every
    acknowledged commit, as far as the replies to requests sent at or after
@@ -40,7 +40,7 @@
                                  const struct svc_instance *primary,
                                  int64_t since_us, bool paused,
                                  int64_t now_us);
-/* The newest term known of S.  */
+/* Returns the newest term that an instance of S has reported.  */
 uint32_t cnd_newest_term (const struct svc *s);
 
 #endif
--- a/packages/core/drain.h
+++ b/packages/core/drain.h
@@ -16,9 +16,9 @@
   int64_t exit_us;         /* the process ends at the latest */
 };
 
-/* The timetable for a grace period of GRACE_US.  */
+/* Returns the timetable for a grace period of GRACE_US.  */
 struct drn_timetable drn_plan (int64_t grace_us);
-/* The stage SINCE_US after the signal.  */
+/* Returns the stage SINCE_US after the signal.  */
 enum plr_drain drn_stage (const struct drn_timetable *t, int64_t since_us);
 
 #endif
--- a/packages/core/poolerwatch.c
+++ b/packages/core/poolerwatch.c
@@ -276,8 +276,8 @@
 }
 
 /* Closes the connections to an instance that must not get new work; those that
-   a session holds are closed once it releases them.  They are kept for a
-   command, which is no work.  */
+   a session holds are closed once it releases them.  Those to an instance with
+   a command to be sent stay open.  */
 static void
 close_unusable (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -19,8 +19,8 @@
    platform does not check tokens: others respect the claim for longer, and the
    call is on its way for a part of the difference.  */
 #define TOKEN_VALID_US (OTHER_CLAIM_GRACE_US - 600000)
-/* In that case a claim without a result for so long is given up; the store's
-   adapter reports one sooner.  */
+/* In that case a claim without a result is given up after this time; the
+   store's adapter reports one sooner.  */
 #define CLAIM_LOST_US 4000000
 /* Time until a promotion is confirmed: its own and that of a few requests.  */
 #define CONFIRM_WAIT_US 2500000
@@ -68,8 +68,8 @@
   sv->target_id = g_strdup (target->entry->id);
 }
 
-/* Stops the replicas from receiving: a primary that is cut off from this proxy
-   only could else have a commit acknowledged by another replica than the one
+/* Stops the replicas from receiving.  Otherwise a primary that other proxies
+   still reach could have a commit acknowledged by another replica than the one
    that is promoted.  */
 static void
 start_pausing (struct sfo_service *sv, int64_t now_us)
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -416,8 +416,8 @@
 {
   if (sv->svc->sync_replicas == 0 || !sfo_can_step_down (sv, primary))
     return sfo_choose_target (sv, primary, false, now_us);
-  return cnd_choose_holder (sv->svc, primary, sv->known_position,
-                            sv->state_since_us, now_us);
+  return cnd_choose_reported (sv->svc, primary, sv->known_position,
+                              sv->state_since_us, now_us);
 }
 
 void
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -50,9 +50,9 @@
   int64_t holder_gone_since_us; /* 0 = the holder is a known voter */
   int64_t claim_ahead_after_us; /* no claim is taken ahead of need before */
   uint64_t token;               /* fencing token of the promotion, 0 = none */
-  int64_t claim_requested_us;   /* when TOKEN was */
-  int64_t claim_won_us;
-  uint32_t attempts; /* promotion calls with TOKEN */
+  int64_t claim_requested_us;   /* the claim that gave TOKEN */
+  int64_t claim_won_us;         /* the same, when it was granted */
+  uint32_t attempts;            /* promotion calls with TOKEN */
   struct sfo_votes votes;
   const char *cause; /* of the failover, for the log */
   bool planned;      /* the primary leaves; it steps down first */
@@ -101,14 +101,15 @@
 /* Returns true if the primary, which leaves, can be told to step down.  */
 bool sfo_can_step_down (const struct sfo_service *sv,
                         const struct svc_instance *primary);
-/* No replica can be promoted at present: tries again later.  */
+/* Ends the attempt, as no replica can be promoted at present; another begins
+   later.  */
 void sfo_hold_promotion (struct sfo_service *sv, int64_t now_us);
 
 /* promotion.c */
 
 /* Calls the platform to promote the target, unless the token is too old.  */
 void sfo_order_promotion (struct sfo_service *sv, int64_t now_us);
-/* Each advances one state.  */
+/* Each advances the failover in the state that it is named after.  */
 void sfo_tick_claiming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_pausing (struct sfo_service *sv,
                        const struct svc_instance *primary, int64_t now_us);
@@ -117,9 +118,9 @@
                              int64_t now_us);
 void sfo_tick_confirming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_promote_retry (struct sfo_service *sv, int64_t now_us);
-/* Some time after a claim to promote the replicas that were paused for it are
-   to receive again: the proxy that paused them may have ended, and the
-   promotion, which resumes them too, may have failed.  */
+/* Resumes replicas some time after a claim to promote: the proxy that paused
+   them may have ended, and the promotion, which resumes them too, may have
+   failed.  */
 void sfo_resume_replicas (struct sfo_service *sv, int64_t now_us);
 /* Notes that replicas may be paused, so that they are resumed later.  */
 void sfo_expect_pause (struct sfo_service *sv, int64_t now_us);
--- a/tests/fakes/kvstore.h
+++ b/tests/fakes/kvstore.h
@@ -29,7 +29,7 @@
 /* Starts the server; NULL if LISTEN (host:port) can't be bound.  */
 struct kvs *kvs_new (const char *listen, kvs_promote_fn *promote, void *arg);
 void kvs_free (struct kvs *s);
-/* Lists at most so many items at once.  */
+/* Limits one page of a listing to ITEMS.  */
 void kvs_set_page_size (struct kvs *s, uint32_t items);
 void kvs_set_fault (struct kvs *s, enum kvs_fault fault);
 /* Drops the history of changes; a watch that starts before it gets status
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -62,8 +62,8 @@
   return (uint32_t)g_rand_int_range (soak.random, 0, (gint32)n);
 }
 
-/* The parts of the deployment that the pages leave open, by SEED: consecutive
-   seeds have all combinations.  */
+/* Chooses what a deployment may set, by SEED: twelve consecutive seeds have
+   all combinations.  */
 static void
 choose_deployment (uint32_t seed)
 {
--- a/tests/unit/registry_test.cc
+++ b/tests/unit/registry_test.cc
@@ -138,7 +138,7 @@
 
 // Values that another writer may leave under a key of instances.
 std::vector<std::string>
-OddValues ()
+UnusableValues ()
 {
   const std::string good = Instance ();
   std::string port = Instance ();
@@ -185,7 +185,7 @@
 
 // Keys that another writer may choose: bytes that a query, JSON or the wire
 // protocol gives a meaning.
-const char *const kOddKeys[]
+const char *const kUnusualKeys[]
     = { "servers/",         "servers/a b",       "servers/a%41",
         "servers/a%",       "servers/a&after=z", "servers/a+b",
         "servers/a#b",      "servers/a?b=c",     "servers/a/b/../c",
@@ -194,36 +194,37 @@
         "servers/a;b,c=d:e" };
 
 // Guards against machines that end, or stop to follow the list, after another
-// writer left an odd entry: deeply nested, with a number too large, a port out
-// of range, or a key that has a meaning in a query.  Each is at the end of a
-// page once.
-TEST (Registry, OddEntriesStopNeitherTheListingNorTheWatch)
+// writer left an entry that cannot be used: deeply nested, with a number too
+// large, a port out of range, or a key that has a meaning in a query.  Each is
+// at the end of a page once.
+TEST (Registry, UnusableEntriesStopNeitherTheListingNorTheWatch)
 {
   for (uint32_t page_size : { 1, 3, 500 })
     {
       World w (page_size);
-      std::vector<std::string> values = OddValues ();
+      std::vector<std::string> values = UnusableValues ();
       std::set<std::string> good;
 
       for (size_t n = 0; n < values.size (); n++)
         {
           std::string id = "i-" + std::to_string (100 + n);
-          kvs_put (w.store, ("servers/" + id + "-odd").c_str (),
+          kvs_put (w.store, ("servers/" + id + "-unusable").c_str (),
                    values[n].c_str ());
           kvs_put (w.store, ("servers/" + id).c_str (), Instance ().c_str ());
           good.insert (id);
         }
-      for (const char *key : kOddKeys)
+      for (const char *key : kUnusualKeys)
         kvs_put (w.store, key, "{}");
       EXPECT_TRUE (w.RunUntil ([&] { return w.loaded; })) << page_size;
       EXPECT_EQ (w.instances, good) << page_size;
 
       // The same by the watch, with a good one last.
       for (size_t n = 0; n < values.size (); n++)
-        kvs_put (w.store,
-                 ("servers/j-" + std::to_string (100 + n) + "-odd").c_str (),
-                 values[n].c_str ());
-      for (const char *key : kOddKeys)
+        kvs_put (
+            w.store,
+            ("servers/j-" + std::to_string (100 + n) + "-unusable").c_str (),
+            values[n].c_str ());
+      for (const char *key : kUnusualKeys)
         kvs_put (w.store, key, "[]");
       kvs_put (w.store, "servers/last", Instance ().c_str ());
       good.insert ("last");
@@ -238,7 +239,7 @@
 {
   World w (500);
 
-  for (const char *key : kOddKeys)
+  for (const char *key : kUnusualKeys)
     kvs_put (w.store, key, Instance ().c_str ());
   kvs_put (w.store, "servers/last", Instance ().c_str ());
   EXPECT_TRUE (w.RunUntil ([&] { return w.loaded; }));
