--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -606,3 +606,11 @@
 {
   EXPECT_EQ (w.group->violations, 0u) << w.group->first_violation;
 }
+
+void
+NoteClaim (PoolWorld *w, const char *vm, uint64_t revision, bool promotes)
+{
+  struct sfo_claim claim = { "stock", vm, revision, promotes };
+
+  sfo_note_claim (w->sfo, &claim, w->now_us);
+}
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -165,6 +165,9 @@
   }
 };
 
+// Tells W that proxy VM took the claim, to promote at once or ahead of need.
+void NoteClaim (PoolWorld *w, const char *vm, uint64_t revision,
+                bool promotes = true);
 // Fails the test when the model recorded a breach of a consistency guarantee.
 void ExpectNoBreach (const PoolWorld &w);
 
