Tests for the limits of a settings file that changes

Feed.AChangedAgeLimitIsInForceAtOnce and SessionFailover.AChangedDrainGraceIsInForceAtOnce cover the other limits.

--- a/tests/unit/feed_test.cc
+++ b/tests/unit/feed_test.cc
@@ -505,4 +505,33 @@
   itm_free (from);
   itm_free (to);
 }
+
+// The age limit follows the settings file: data that is too old under the
+// changed limit is not relied on.
+TEST (Feed, AChangedAgeLimitIsInForceAtOnce)
+{
+  GHashTable *regions = g_hash_table_new (g_str_hash, g_str_equal);
+  struct vmt_table vms;
+  struct fed_options o = {};
+
+  vmt_init (&vms, "own", regions);
+  for (int n = 0; n < 20; n++)
+    vmt_set (&vms, ("vm-" + std::to_string (n)).c_str (), "10.0.0.1:1", "a",
+             0.5);
+  vmt_set (&vms, "own", "10.0.0.2:1", "a", 0.1);
+  o.vms = &vms;
+  o.vm = "own";
+  o.data_centre = "a";
+  o.stale_us = kStaleUs;
+  struct fed *f = fed_new (&o);
+  ASSERT_FALSE (fed_is_feeder (f));
+  fed_note_reply (f, 0, kStaleUs);
+  EXPECT_TRUE (fed_is_current (f, kStaleUs + kStaleUs / 2));
+  fed_set_stale (f, kStaleUs / 4);
+  EXPECT_FALSE (fed_is_current (f, kStaleUs + kStaleUs / 2));
+  EXPECT_TRUE (fed_is_current (f, kStaleUs + kStaleUs / 8));
+  fed_free (f);
+  vmt_free (&vms);
+  g_hash_table_destroy (regions);
+}
 } // namespace
--- a/tests/unit/promotion_test.cc
+++ b/tests/unit/promotion_test.cc
@@ -389,4 +389,30 @@
   EXPECT_TRUE (w.group->instances[2].paused);
   ExpectNoBreach (w);
 }
+
+// The time that a draining primary stays in use follows the settings file, for
+// services known before the change and after.
+TEST (SessionFailover, AChangedDrainGraceIsInForceAtOnce)
+{
+  PoolWorld w (66);
+  struct svc *s
+      = (struct svc *)g_hash_table_lookup (plr_services (w.pooler), "stock");
+  struct svc_instance *primary = svc_find (s, "i-0");
+
+  w.Register (&w.group->instances[0], true);
+  int64_t since_us = primary->draining_since_us;
+  EXPECT_TRUE (svc_may_stay_primary (primary, since_us + 2000000));
+  plr_set_drain_grace (w.pooler, 1000000);
+  EXPECT_FALSE (svc_may_stay_primary (primary, since_us + 2000000));
+  EXPECT_TRUE (svc_may_stay_primary (primary, since_us + 500000));
+  struct dir_instance d = {};
+  d.id = (char *)"new";
+  d.service = (char *)"new";
+  d.host = (char *)"10.0.0.9";
+  d.data_centre = (char *)"a";
+  plr_register_instance (w.pooler, &d, w.now_us);
+  s = (struct svc *)g_hash_table_lookup (plr_services (w.pooler), "new");
+  ASSERT_NE (s, nullptr);
+  EXPECT_EQ (s->drain_grace_us, 1000000);
+}
 } // namespace
