--- a/tests/unit/fleetworld.h
+++ b/tests/unit/fleetworld.h
@@ -204,4 +204,7 @@
   int64_t ServedFrom (int64_t from_us, double share) const;
 };
 
+// C's statement ended with RESULT: sends the next one, or ends the attempt.
+void OnCallerReply (FleetCaller *c, const struct stm_result *result);
+
 #endif
