A late reply teaches the execution time; the time limit counts from the first try

Change: the connection of one overdue read of an instance stays open until the time limit of its statement; the limit doubles with each reply that a statement gave up; the route's limit counts from the first try.

--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -330,6 +330,7 @@
   s->writes = writes;
   s->stage = SES_SENT;
   s->sent_us = 0;
+  s->first_sent_us = 0;
   if (!s->relay_instance)
     {
       s->rank = ovl_rank (&p->request_kinds, s->work.request_kind);
--- a/packages/core/poolerdispatch.c
+++ b/packages/core/poolerdispatch.c
@@ -308,6 +308,14 @@
   return u;
 }
 
+static void
+note_sent (struct ses *s, int64_t now_us)
+{
+  s->sent_us = now_us;
+  if (s->first_sent_us == 0)
+    s->first_sent_us = now_us;
+}
+
 static void
 send_statement (struct plr *p, struct ses *s, const struct stm *statement,
                 struct logpos min_position, int64_t now_us)
@@ -315,7 +323,7 @@
   struct stm out = *statement;
 
   ctr_add (p->options.counters, CTR_STATEMENTS, 1);
-  s->sent_us = now_us;
+  note_sent (s, now_us);
   out.urgency = urgency_of (p, s, now_us);
   ul_send (s->link, UL_STATEMENT, min_position, &out, s, now_us);
 }
@@ -330,7 +338,7 @@
   struct stm begin = { .kind = need->confirm ? STM_BEGIN : STM_BEGIN_READ };
 
   begin.urgency = urgency_of (p, s, now_us);
-  s->sent_us = now_us;
+  note_sent (s, now_us);
   s->awaits_begin = true;
   ul_send (s->link, UL_BEGIN, need->min_position, &begin, s, now_us);
 }
--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -681,17 +681,44 @@
     }
 }
 
+static bool
+awaits_late_reply (const struct svc_instance *i, int64_t now_us)
+{
+  for (guint n = 0; n < i->links->len; n++)
+    {
+      const struct ul *link = g_ptr_array_index (i->links, n);
+
+      if (now_us < link->late_until_us)
+        return true;
+    }
+  return false;
+}
+
+/* Keeps the link of S open for its late reply until the time limit of the
+   statement.  Without it an instance all of whose replies are overdue would
+   never show how long it takes.  One link of an instance is enough; a
+   transaction is rolled back at once.  */
+static void
+await_late_reply (const struct ses *s, int64_t now_us)
+{
+  if (!s->work.transaction && !awaits_late_reply (s->link->instance, now_us))
+    s->link->late_until_us = s->sent_us + s->work.timeout_us;
+}
+
 void
 plr_reply_lost (struct plr *p, struct ses *s, int64_t now_us)
 {
   struct ul *link = s->link;
 
   link->retiring = true;
+  s->tries_lost++;
+  await_late_reply (s, now_us);
   if (can_restart (s))
     plr_retry (p, s, RETRY_ANSWER_LOST, 0, now_us);
   else
     abort_transaction (p, s, RFS_ANSWER_LOST, now_us);
-  plr_close_link (p, link, now_us);
+  if (now_us >= link->late_until_us)
+    plr_close_link (p, link, now_us);
 }
 
 /* Ends the statement of S, whose reply is not waited for any longer, for
--- a/packages/core/poolerwatch.c
+++ b/packages/core/poolerwatch.c
@@ -37,6 +37,9 @@
    mean.  */
 #define LOST_FACTOR 10
 #define LOST_MIN_US 200000
+/* The limit is doubled with each reply that one statement gave up, because the
+   estimate of the execution time may be too low; at most so often.  */
+#define LOST_DOUBLINGS_MAX 4
 /* Idle time after which connections above the share are closed.  */
 #define SURPLUS_IDLE_US 500000
 /* The same within the share; one connection to the primary is kept.  */
@@ -170,7 +173,7 @@
       link = g_ptr_array_index (i->links, n - 1);
       sent_us = link->phase == UL_OPENING ? link->opened_us
                                           : ul_oldest_request_us (link);
-      if (link->session || sent_us == 0
+      if (link->session || sent_us == 0 || now_us < link->late_until_us
           || now_us - sent_us < UNRESPONSIVE_OPEN_US)
         continue;
       ctr_add (p->options.counters, CTR_CONNECTION_SILENT, 1);
@@ -435,7 +438,8 @@
 {
   const struct svc_instance *i = s->link->instance;
   int64_t usual_us = i->round_trip_us + LOST_FACTOR * i->exec_us;
-  int64_t limit_us = MAX (usual_us, LOST_MIN_US);
+  int64_t limit_us = MAX (usual_us, LOST_MIN_US)
+                     << MIN (s->tries_lost, LOST_DOUBLINGS_MAX);
 
   /* It may have waited in the queue of the home first.  */
   if (s->link->home)
@@ -451,7 +455,7 @@
 watch_statement (struct plr *p, struct ses *s, int64_t now_us)
 {
   bool sent = s->stage == SES_SENT && s->link;
-  int64_t since_us = sent ? s->sent_us : s->arrived_us;
+  int64_t since_us = sent ? s->first_sent_us : s->arrived_us;
 
   if (s->relay_instance)
     {
--- a/packages/core/session.c
+++ b/packages/core/session.c
@@ -142,6 +142,7 @@
   s->retry_after_us = 0;
   s->tries = 0;
   s->tries_behind = 0;
+  s->tries_lost = 0;
   s->avoid = NULL;
   s->awaits_begin = false;
   s->proxy_transaction = false;
--- a/packages/core/session.h
+++ b/packages/core/session.h
@@ -76,11 +76,13 @@
   bool awaits_begin;      /* sent once the reply to BEGIN has come */
   bool proxy_transaction; /* runs in a transaction that the proxy opened */
   int64_t arrived_us;
-  int64_t sent_us;
+  int64_t sent_us;        /* of the last try */
+  int64_t first_sent_us;  /* of the first try, 0 = not sent yet */
   int64_t retry_after_us; /* earliest time of the next try */
   uint32_t rank;          /* in the queue, lowest first; see ovl_rank */
   int64_t max_wait_us;    /* in the queue, 0 = no limit but the timeout */
   uint32_t tries;
+  uint32_t tries_lost;   /* of these, given up because the reply was overdue */
   uint32_t tries_behind; /* of these, on replicas that lacked the position */
   const struct svc_instance *avoid; /* failed the last try */
   int64_t idle_since_us;            /* when the last statement ended */
--- a/packages/core/uplink.h
+++ b/packages/core/uplink.h
@@ -80,6 +80,9 @@
   uint64_t values_digest; /* of these values, see ul_value_digest */
   GHashTable *prepared;   /* ids of prepared statements */
   int64_t opened_us;      /* when opening began */
+  /* Its session stopped waiting for the reply, which is still awaited until
+     then for the time that it took; 0 = not.  */
+  int64_t late_until_us;
   int64_t idle_since_us;
 };
 
