--- a/packages/adapters/codec.h
+++ b/packages/adapters/codec.h
@@ -13,7 +13,7 @@
 
 enum codec_caller_kind
 {
-  CODEC_START,     /* a session with DATABASE begins */
+  CODEC_START,     /* a session with DATABASE begins, of the caller with KEY */
   CODEC_STATEMENT, /* STATEMENT */
   CODEC_TERMINATE, /* the session ends */
   CODEC_INVALID    /* not a message of this protocol */
@@ -24,6 +24,8 @@
 {
   enum codec_caller_kind kind;
   const char *database;
+  const char *key; /* by which the caller identifies itself, or NULL; from a
+                      proxy: the account whose connections it asks for */
   struct stm statement;
   /* Set only in messages of another proxy.  */
   const char *instance; /* the instance to reach; DATABASE is its service */
@@ -70,8 +72,11 @@
   bool (*read_status) (const struct codec *codec, const char *rows, size_t len,
                        struct stm_status *out);
   /* Messages to an upstream.  */
+  /* ACCOUNT is the client account in whose name the session begins, NULL = the
+     proxy itself.  */
   void (*write_start) (const struct codec *codec, GString *out,
-                       const struct dir_instance *instance);
+                       const struct dir_instance *instance,
+                       const char *account);
   /* TO_HOME: the statement goes to the home of the instance, another proxy
      that forwards it and is also sent its urgency.  */
   void (*write_statement) (const struct codec *codec, GString *out,
--- a/packages/adapters/probe.c
+++ b/packages/adapters/probe.c
@@ -13,6 +13,7 @@
   struct mg_context *context;
   struct ctr_set *counters;
   const struct ev_log *log;
+  struct usg_set *usage;
   _Atomic bool ready;
 };
 
@@ -36,6 +37,8 @@
 
   ctr_write_metrics (p->counters, text);
   ev_write_metrics (p->log, text);
+  if (p->usage)
+    usg_write_metrics (p->usage, text);
   mg_printf (connection,
              "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
              "Content-Length: %zu\r\nConnection: close\r\n\r\n",
@@ -74,6 +77,7 @@
   callbacks.log_message = on_civetweb_log;
   p->counters = options->counters;
   p->log = options->log;
+  p->usage = options->usage;
   p->context = mg_start (&callbacks, p, settings);
   if (p->context)
     {
--- a/packages/adapters/probe.h
+++ b/packages/adapters/probe.h
@@ -4,6 +4,7 @@
 #define CB_PROBE_H
 
 #include "event.h"
+#include "usage.h"
 
 struct probe_options
 {
@@ -13,6 +14,7 @@
   const char *metrics_path;
   struct ctr_set *counters;
   const struct ev_log *log;
+  struct usg_set *usage; /* NULL = no accounts are counted */
 };
 
 struct probe;
--- a/packages/core/dir.c
+++ b/packages/core/dir.c
@@ -54,6 +54,7 @@
     return;
   g_hash_table_destroy (c->routes);
   g_hash_table_destroy (c->services);
+  acc_table_free (c->accounts);
   g_free (c);
 }
 
--- a/packages/core/dir.h
+++ b/packages/core/dir.h
@@ -3,6 +3,7 @@
 #ifndef CB_DIR_H
 #define CB_DIR_H
 
+#include "account.h"
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -25,6 +26,7 @@
   int64_t timeout_us;   /* of one statement */
   int64_t objective_us; /* latency objective of a whole operation */
   int32_t priority;     /* 0 is the most urgent */
+  bool is_public;       /* callers need no account */
 };
 
 /* A database group: one primary and its replicas.  */
@@ -44,6 +46,7 @@
   GHashTable *routes;   /* database -> struct dir_route * */
   GHashTable *services; /* name -> struct dir_service * */
   int64_t transaction_idle_us;
+  struct acc_table *accounts; /* NULL = callers need no accounts */
 };
 
 /* The directory entry of one upstream instance.  */
--- a/packages/core/gossip.c
+++ b/packages/core/gossip.c
@@ -11,6 +11,9 @@
 #define FIELDS 9
 #define FIELDS_MIN 7
 #define ITEM_FIELDS 3
+/* Added to the messages about limits: account, part, serial, needed, wanted,
+   granted, wait.  */
+#define LIMIT_FIELDS 7
 
 static int
 write_bytes (void *data, const char *buffer, size_t len)
@@ -28,13 +31,31 @@
     msgpack_pack_nil (pk);
 }
 
+static bool
+has_limit (enum gsp_kind kind)
+{
+  return kind == GSP_LIMIT_REQUEST || kind == GSP_LIMIT_GRANT;
+}
+
+static void
+pack_limit (msgpack_packer *pk, const struct gsp_limit *l)
+{
+  pack_text (pk, l->account);
+  msgpack_pack_uint64 (pk, l->part);
+  msgpack_pack_uint64 (pk, l->serial);
+  msgpack_pack_uint64 (pk, l->needed);
+  msgpack_pack_uint64 (pk, l->wanted);
+  msgpack_pack_uint64 (pk, l->granted);
+  msgpack_pack_uint64 (pk, l->wait_ms);
+}
+
 void
 gsp_encode (const struct gsp_message *m, GByteArray *out)
 {
   msgpack_packer pk;
 
   msgpack_packer_init (&pk, out, write_bytes);
-  msgpack_pack_array (&pk, FIELDS);
+  msgpack_pack_array (&pk, FIELDS + (has_limit (m->kind) ? LIMIT_FIELDS : 0));
   msgpack_pack_uint64 (&pk, VERSION);
   msgpack_pack_uint64 (&pk, (uint64_t)m->kind);
   pack_text (&pk, m->service);
@@ -51,6 +72,8 @@
     }
   msgpack_pack_uint64 (&pk, m->base_revision);
   msgpack_pack_uint64 (&pk, m->age_ms);
+  if (has_limit (m->kind))
+    pack_limit (&pk, &m->limit);
 }
 
 static bool
@@ -110,6 +133,29 @@
   return true;
 }
 
+static bool
+read_number32 (const msgpack_object *o, uint32_t *out)
+{
+  uint64_t n;
+
+  if (!read_number (o, &n) || n > UINT32_MAX)
+    return false;
+  *out = (uint32_t)n;
+  return true;
+}
+
+static bool
+read_limit (const msgpack_object *f, struct gsp_limit *out)
+{
+  return read_text (&f[0], &out->account) && out->account
+         && read_number32 (&f[1], &out->part)
+         && read_number (&f[2], &out->serial)
+         && read_number32 (&f[3], &out->needed)
+         && read_number32 (&f[4], &out->wanted)
+         && read_number32 (&f[5], &out->granted)
+         && read_number (&f[6], &out->wait_ms);
+}
+
 static bool
 read_message (const msgpack_object *o, struct gsp_message *out)
 {
@@ -137,6 +183,10 @@
       && (!read_number (&f[7], &out->base_revision)
           || !read_number (&f[8], &out->age_ms)))
     return false;
+  if (has_limit (out->kind)
+      && (o->via.array.size < FIELDS + LIMIT_FIELDS
+          || !read_limit (f + FIELDS, &out->limit)))
+    return false;
   return read_items (&f[6], out);
 }
 
@@ -168,6 +218,7 @@
       g_free (m->items[i].key);
       g_free (m->items[i].value);
     }
+  g_free (m->limit.account);
   g_free (m->items);
   g_free (m->service);
   g_free (m->instance);
--- a/packages/core/gossip.h
+++ b/packages/core/gossip.h
@@ -26,6 +26,9 @@
   GSP_DELTA_REQUEST,
   /* All items newer than BASE_REVISION and up to REVISION.  */
   GSP_DELTA,
+  /* Requests operations of an account, and the reply; see struct gsp_limit. */
+  GSP_LIMIT_REQUEST,
+  GSP_LIMIT_GRANT,
   GSP_KIND_END
 };
 
@@ -37,6 +40,19 @@
   uint64_t revision;
 };
 
+/* Of GSP_LIMIT_REQUEST and GSP_LIMIT_GRANT: operations of one part of the
+   limit of an account.  */
+struct gsp_limit
+{
+  char *account; /* owned */
+  uint32_t part;
+  uint64_t serial; /* of the request */
+  uint32_t needed; /* by operations that wait */
+  uint32_t wanted; /* those included */
+  uint32_t granted;
+  uint64_t wait_ms; /* until the next one can be granted */
+};
+
 /* A message.  It owns its strings and items.  */
 struct gsp_message
 {
@@ -53,6 +69,7 @@
   uint64_t age_ms;
   uint32_t n_items;
   struct gsp_item *items;
+  struct gsp_limit limit; /* of the kinds that it names, else empty */
 };
 
 #define GSP_AGE_UNKNOWN UINT32_MAX
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -1,6 +1,9 @@
 /* Placement of statements.  */
 #include "place.h"
 
+#include "linkplan.h"
+#include <string.h>
+
 /* Opening a connection takes two round trips and a slot of the instance for
    the handshake; this is its cost besides the round trips.  */
 #define OPEN_COST_US 20000
@@ -15,6 +18,11 @@
 #define HOME_LINKS_MAX 8
 /* The part of its share of the connections that a home may open.  */
 #define HOME_BURST_PERCENT 75
+/* The same where connections belong to accounts: idle ones are kept, so that
+   they need not be opened anew.  */
+#define ACCOUNT_LINKS_PERCENT 85
+/* Direct connections considered for one statement.  */
+#define DIRECT_LINKS_MAX 256
 /* Together, the proxies that hold connections to an instance keep this many
    statements there for each of its slots, so that no slot is idle for a round
    trip; each of them may keep at least one per slot.  Further statements wait
@@ -69,6 +77,37 @@
   return l;
 }
 
+uint32_t
+plc_count_direct (const struct svc_instance *instance)
+{
+  uint32_t n = 0;
+
+  for (guint k = 0; k < instance->links->len; k++)
+    {
+      const struct ul *link = g_ptr_array_index (instance->links, k);
+
+      n += link->home ? 0 : 1;
+    }
+  return n;
+}
+
+struct svc_limits
+plc_account_limits_for (const struct svc_instance *instance,
+                        int32_t connections_max)
+{
+  const struct vmt_homes *homes = &instance->homes;
+  struct svc_limits l = { .max_running = SVC_RUNNING_UNLIMITED };
+  uint32_t max = connections_max > 0 ? (uint32_t)connections_max : 1;
+  uint32_t n_holders = homes->direct ? 1 : MAX (homes->n, 1);
+
+  if (!homes->direct && !homes->includes_own)
+    return l;
+  l.max_links = MAX (max / n_holders * ACCOUNT_LINKS_PERCENT / 100, 1);
+  l.fair_share = l.max_links;
+  l.max_running = max_running_for (instance, n_holders);
+  return l;
+}
+
 struct ul *
 plc_idle_link (const struct svc_instance *instance)
 {
@@ -112,11 +151,127 @@
     {
       const struct ul *link = g_ptr_array_index (i->links, n);
 
+      if (i->svc->by_account && link->home)
+        continue;
       running += link->session && link->requests->len > 0 ? 1 : 0;
     }
   return running < i->limits.max_running;
 }
 
+static struct lpl_link
+describe_link (const struct ul *link)
+{
+  struct lpl_link d
+      = { link->account ? link->account : "", LPL_BUSY, link->idle_since_us };
+
+  if (link->phase == UL_OPENING)
+    d.state = LPL_OPENING;
+  else if (ul_is_idle (link))
+    d.state = LPL_IDLE;
+  return d;
+}
+
+/* Returns true if I may be sent the start of another connection: each occupies
+   a slot for a while.  */
+static bool
+may_open_for_account (const struct svc_instance *i, int64_t now_us)
+{
+  return now_us >= i->open_after_us
+         && i->n_opening < (uint32_t)MAX (i->entry->slots, 2);
+}
+
+/* Chooses among the direct connections to I for a statement of ACCOUNT.  */
+static struct plc_choice
+choose_direct (struct svc_instance *i, const char *account, int64_t waited_us,
+               int64_t now_us)
+{
+  static const enum plc_decision decisions[]
+      = { PLC_USE, PLC_OPEN, PLC_REPLACE, PLC_WAIT };
+  struct lpl_demand demand = { account, waited_us, i->limits.max_links };
+  struct lpl_link links[DIRECT_LINKS_MAX];
+  struct ul *direct[DIRECT_LINKS_MAX];
+  struct plc_choice c = { PLC_WAIT, i, NULL };
+  struct lpl_choice choice;
+  uint32_t n = 0;
+
+  for (guint k = 0; k < i->links->len && n < DIRECT_LINKS_MAX; k++)
+    {
+      struct ul *link = g_ptr_array_index (i->links, k);
+
+      if (link->home)
+        continue;
+      links[n] = describe_link (link);
+      direct[n++] = link;
+    }
+  choice = lpl_choose (&demand, links, n, now_us);
+  c.decision = decisions[choice.action];
+  if (choice.action == LPL_USE || choice.action == LPL_REPLACE)
+    c.link = direct[choice.link];
+  if ((choice.action == LPL_OPEN || choice.action == LPL_REPLACE)
+      && !may_open_for_account (i, now_us))
+    c.decision = PLC_WAIT;
+  return c;
+}
+
+/* Chooses among the connections to I through the proxy VIA.  They serve all
+   accounts, and take no connection of the instance.  */
+static struct plc_choice
+choose_through (struct svc_instance *i, const char *via, int64_t now_us)
+{
+  struct plc_choice c = { PLC_WAIT, i, NULL };
+  struct ul *other = NULL;
+  uint32_t n = 0;
+
+  for (guint k = 0; k < i->links->len; k++)
+    {
+      struct ul *link = g_ptr_array_index (i->links, k);
+
+      if (!link->home)
+        continue;
+      n++;
+      if (!ul_is_idle (link))
+        continue;
+      if (strcmp (link->home, via) != 0)
+        other = link;
+      else if (!c.link || link->idle_since_us > c.link->idle_since_us)
+        c.link = link;
+    }
+  if (c.link)
+    c.decision = PLC_USE;
+  else if (now_us < i->open_after_us)
+    return c;
+  else if (n < HOME_LINKS_MAX)
+    c.decision = PLC_OPEN;
+  else if (other)
+    {
+      c.decision = PLC_REPLACE;
+      c.link = other;
+    }
+  return c;
+}
+
+static struct plc_choice
+choose_link (struct svc_instance *i, const struct plc_need *need,
+             int64_t now_us)
+{
+  struct plc_choice c = { PLC_WAIT, i, NULL };
+  const struct vmt_vm *via;
+
+  if (!need->paths)
+    {
+      c.link = plc_idle_link (i);
+      if (c.link)
+        c.decision = PLC_USE;
+      else if (may_open (i, now_us))
+        c.decision = PLC_OPEN;
+      return c;
+    }
+  via = need->paths->find (need->paths, i, need->account, now_us);
+  if (via)
+    return choose_through (i, via->name, now_us);
+  return choose_direct (i, need->account, need->waited_us, now_us);
+}
+
 static bool
 is_eligible (const struct svc_instance *i, const struct plc_need *need,
              int64_t now_us)
@@ -158,7 +313,7 @@
   for (guint n = 0; n < s->instances->len; n++)
     {
       struct svc_instance *i = g_ptr_array_index (s->instances, n);
-      struct ul *link;
+      struct plc_choice choice;
       int64_t cost;
 
       if (!is_eligible (i, need, now_us))
@@ -167,16 +322,14 @@
         best.decision = PLC_WAIT;
       if (now_us < i->busy_until_us || !has_room (i))
         continue;
-      link = plc_idle_link (i);
-      if (!link && !may_open (i, now_us))
+      choice = choose_link (i, need, now_us);
+      if (choice.decision == PLC_WAIT)
         continue;
-      cost = placement_cost (i, need, link != NULL);
+      cost = placement_cost (i, need, choice.decision == PLC_USE);
       if (cost >= best_cost)
         continue;
       best_cost = cost;
-      best.decision = link ? PLC_USE : PLC_OPEN;
-      best.instance = i;
-      best.link = link;
+      best = choice;
     }
   return best;
 }
@@ -208,3 +361,14 @@
     c.decision = PLC_OPEN;
   return c;
 }
+
+struct plc_choice
+plc_choose_account_link (struct svc_instance *instance, const char *account,
+                         int64_t waited_us, bool needs_slot, int64_t now_us)
+{
+  struct plc_choice c = { PLC_WAIT, instance, NULL };
+
+  if (needs_slot && !has_room (instance))
+    return c;
+  return choose_direct (instance, account, waited_us, now_us);
+}
--- a/packages/core/place.h
+++ b/packages/core/place.h
@@ -13,14 +13,27 @@
   struct logpos min_position; /* the instance must have reached this position;
                              unknown: any */
   const struct svc_instance *avoid; /* chosen only if no other can be */
+  const struct plc_paths *paths;    /* NULL: any idle connection will do */
+  const char *account; /* with PATHS: whose connections may be used */
+  int64_t waited_us;   /* so far */
+};
+
+/* How this proxy reaches an instance for an account, where connections belong
+   to accounts: through the proxy returned, or directly if that is NULL.  */
+struct plc_paths
+{
+  const struct vmt_vm *(*find) (const struct plc_paths *paths,
+                                const struct svc_instance *instance,
+                                const char *account, int64_t now_us);
 };
 
 enum plc_decision
 {
-  PLC_USE,  /* send on LINK, which is idle */
-  PLC_OPEN, /* open a connection to INSTANCE */
-  PLC_WAIT, /* an instance is eligible, but none has room now */
-  PLC_NONE  /* no instance is eligible */
+  PLC_USE,     /* send on LINK, which is idle */
+  PLC_OPEN,    /* open a connection to INSTANCE */
+  PLC_REPLACE, /* the same, after LINK was closed */
+  PLC_WAIT,    /* an instance is eligible, but none has room now */
+  PLC_NONE     /* no instance is eligible */
 };
 
 struct plc_choice
@@ -35,6 +48,11 @@
    between the homes of INSTANCE, which must be up to date.  */
 struct svc_limits plc_limits_for (const struct svc_instance *instance,
                                   int32_t connections_max, uint32_t n_vms);
+/* The same where connections belong to accounts.  */
+struct svc_limits plc_account_limits_for (const struct svc_instance *instance,
+                                          int32_t connections_max);
+/* Returns how many connections this proxy has to INSTANCE directly.  */
+uint32_t plc_count_direct (const struct svc_instance *instance);
 /* Chooses the eligible instance of the lowest cost that has an idle connection
    or room for a new one.  */
 struct plc_choice plc_choose (const struct svc *s, const struct plc_need *need,
@@ -47,6 +65,12 @@
    that the limit of running statements applies.  */
 struct plc_choice plc_choose_at (struct svc_instance *instance,
                                  bool needs_slot, int64_t now_us);
+/* The same where connections belong to accounts, for a statement of ACCOUNT
+   that has waited for WAITED_US.  */
+struct plc_choice plc_choose_account_link (struct svc_instance *instance,
+                                           const char *account,
+                                           int64_t waited_us, bool needs_slot,
+                                           int64_t now_us);
 /* An idle connection to INSTANCE, or NULL.  */
 struct ul *plc_idle_link (const struct svc_instance *instance);
 
--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -21,6 +21,7 @@
   p->failed_homes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->directory_reachable = true;
+  plr_init_accounts (p);
   return p;
 }
 
@@ -61,6 +62,7 @@
   ses_prepared_table_free (p->prepared_table);
   vmt_free (&p->vms);
   g_hash_table_destroy (p->failed_homes);
+  plr_free_accounts (p);
   g_free (p);
 }
 
@@ -153,22 +155,39 @@
   return &p->vms;
 }
 
+/* Refuses a session on DATABASE.  */
+static void
+refuse_session (struct plr *p, const char *database, enum rfs why,
+                int64_t now_us)
+{
+  ctr_count_refusal (p->options.counters, why);
+  EV (p->options.log, now_us, EV_REFUSED, EV_TEXT ("database", database),
+      EV_TEXT ("why", rfs_name (why)),
+      EV_INT ("version", (int64_t)plr_config_version (p)));
+}
+
 struct ses *
 plr_open_session (struct plr *p, void *tag, const char *database,
-                  int64_t now_us)
+                  const char *key, int64_t now_us, enum sqc *code)
 {
   struct ses *s;
 
   if (!dir_find_route (p->config, database))
     {
-      ctr_count_refusal (p->options.counters, RFS_NO_ROUTE);
-      EV (p->options.log, now_us, EV_REFUSED, EV_TEXT ("database", database),
-          EV_TEXT ("why", rfs_name (RFS_NO_ROUTE)),
-          EV_INT ("version", (int64_t)plr_config_version (p)));
+      refuse_session (p, database, RFS_NO_ROUTE, now_us);
+      *code = SQC_NO_DATABASE;
       return NULL;
     }
-  ctr_add (p->options.counters, CTR_SESSIONS_OPENED, 1);
   s = ses_new (tag, database, now_us);
+  plr_set_key (s, key);
+  if (!plr_is_allowed (p, s))
+    {
+      refuse_session (p, database, RFS_UNKNOWN_KEY, now_us);
+      ses_free (s, p->prepared_table);
+      *code = SQC_DENIED;
+      return NULL;
+    }
+  ctr_add (p->options.counters, CTR_SESSIONS_OPENED, 1);
   g_queue_push_tail_link (&p->sessions, &s->node);
   return s;
 }
@@ -224,16 +243,27 @@
 
 /* Starts a transaction or single statement.  The route is looked up once for
    all of it, so that a configuration change does not affect it.  Returns false
-   when there is no route.  */
+   when STATEMENT was rejected because there is no route, or none for this
+   caller.  */
 static bool
-begin_work (struct plr *p, struct ses *s, bool transaction, bool read_only,
-            int64_t now_us)
+begin_work (struct plr *p, struct ses *s, const struct stm *statement,
+            bool transaction, int64_t now_us)
 {
   const struct dir_route *r = dir_find_route (p->config, s->database);
   struct ses_work *w = &s->work;
+  bool read_only = statement->kind == STM_BEGIN_READ;
 
   if (!r)
-    return false;
+    {
+      reject (p, s, statement, RFS_NO_ROUTE, SQC_NO_DATABASE, STM_IDLE,
+              now_us);
+      return false;
+    }
+  if (!plr_assign_account (p, s, r))
+    {
+      reject (p, s, statement, RFS_KEY_REMOVED, SQC_DENIED, STM_IDLE, now_us);
+      return false;
+    }
   plr_clear_work (s);
   w->transaction = transaction;
   w->read_only = read_only;
@@ -252,21 +282,16 @@
 on_begin (struct plr *p, struct ses *s, const struct stm *statement,
           int64_t now_us)
 {
-  bool read_only = statement->kind == STM_BEGIN_READ;
-
   if (s->state != STM_IDLE)
     {
       reject (p, s, statement, RFS_OUT_OF_ORDER, SQC_MALFORMED, STM_FAILED,
               now_us);
       return;
     }
-  if (!begin_work (p, s, true, read_only, now_us))
-    {
-      reject (p, s, statement, RFS_NO_ROUTE, SQC_NO_DATABASE, STM_IDLE,
-              now_us);
-      return;
-    }
+  if (!begin_work (p, s, statement, true, now_us))
+    return;
   ctr_add (p->options.counters, CTR_SESSION_TRANSACTIONS, 1);
+  plr_expect_work (p, s, now_us);
   reply_ok (p, s, STM_OPEN, now_us);
 }
 
@@ -331,13 +356,20 @@
   s->stage = SES_SENT;
   s->sent_us = 0;
   s->first_sent_us = 0;
+  g_queue_push_tail_link (&p->active, &s->active_node);
+  if (plr_admit (p, s, now_us))
+    plr_start_statement (p, s, now_us);
+}
+
+void
+plr_start_statement (struct plr *p, struct ses *s, int64_t now_us)
+{
   if (!s->relay_instance)
     {
       s->rank = ovl_rank (&p->request_kinds, s->work.request_kind);
       s->max_wait_us
           = ovl_max_wait_us (&p->request_kinds, s->work.request_kind);
     }
-  g_queue_push_tail_link (&p->active, &s->active_node);
   plr_dispatch (p, s, now_us);
 }
 
@@ -349,12 +381,8 @@
 
   if (!check_statement (p, s, statement, &writes, now_us))
     return;
-  if (s->state == STM_IDLE && !begin_work (p, s, false, false, now_us))
-    {
-      reject (p, s, statement, RFS_NO_ROUTE, SQC_NO_DATABASE, STM_IDLE,
-              now_us);
-      return;
-    }
+  if (s->state == STM_IDLE && !begin_work (p, s, statement, false, now_us))
+    return;
   if (p->drain == PLR_DRAIN_END
       || (g_queue_get_length (&s->work.svc->waiting) >= WAITING_MAX
           && !s->link))
@@ -378,6 +406,19 @@
           SQC_ABORTED, ends ? STM_IDLE : STM_FAILED, now_us);
 }
 
+/* The key of the caller was taken away while its transaction was open: rolls
+   the transaction back.  */
+static void
+on_key_removed (struct plr *p, struct ses *s, const struct stm *statement,
+                int64_t now_us)
+{
+  bool ends = statement->kind == STM_COMMIT;
+
+  usg_count (p->usage, s->account, USG_KEY_REMOVED);
+  reject (p, s, statement, RFS_KEY_REMOVED, SQC_DENIED,
+          ends ? STM_IDLE : STM_FAILED, now_us);
+}
+
 /* BEGIN, ROLLBACK, SET, PREPARE and DEALLOCATE are handled here; the other
    statements go to the upstream.  */
 void
@@ -395,6 +436,8 @@
     on_rollback (p, s, now_us);
   else if (s->state == STM_OPEN && s->work.link_lost)
     on_lost_transaction (p, s, statement, now_us);
+  else if (s->state == STM_OPEN && !plr_is_allowed (p, s))
+    on_key_removed (p, s, statement, now_us);
   else if (statement->kind == STM_ROLLBACK
            || (statement->kind == STM_COMMIT && s->state != STM_OPEN))
     on_end_without_transaction (p, s, statement, now_us);
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -7,9 +7,11 @@
 #ifndef CB_POOLER_H
 #define CB_POOLER_H
 
+#include "accountlimits.h"
 #include "event.h"
 #include "reason.h"
 #include "session.h"
+#include "usage.h"
 
 struct plr_port;
 
@@ -29,6 +31,15 @@
   const struct plr_port_ops *ops;
 };
 
+/* Client accounts, see packages/accounts.  */
+struct plr_account_options
+{
+  bool required; /* callers need an account whatever the configuration says */
+  struct qgr_terms terms;
+  int64_t entry_ttl_us; /* see struct qgr_options */
+  int64_t started_us;   /* start of this process */
+};
+
 struct plr_options
 {
   struct plr_port *callers;
@@ -39,6 +50,7 @@
   const char *data_centre; /* of this proxy */
   GHashTable *regions;     /* data centre -> region, borrowed */
   int64_t drain_grace_us;  /* how long a draining primary stays in use */
+  struct plr_account_options accounts;
 };
 
 /* Requests the other proxies that hold connections to INSTANCE (HOLDERS, or
@@ -111,9 +123,11 @@
 
 /* Sessions.  */
 
-/* Opens a caller's session.  Returns NULL when DATABASE has no route.  */
+/* Opens the session of a caller that identifies itself by KEY (may be NULL).
+   Returns NULL and sets *CODE when DATABASE has no route or is not open to
+   this caller.  */
 struct ses *plr_open_session (struct plr *p, void *tag, const char *database,
-                              int64_t now_us);
+                              const char *key, int64_t now_us, enum sqc *code);
 /* Opens a relay session, in which another proxy reaches INSTANCE through this
    one; its statements are forwarded unchanged.  Returns NULL when this proxy
    is not a home of the instance or cannot reach it.  */
@@ -172,6 +186,17 @@
 /* Sessions with a statement or transaction under way.  */
 uint32_t plr_count_busy (const struct plr *p);
 
+/* Client accounts.  */
+
+/* The limits of the accounts.  The owner of P sets their port, and tells them
+   of changes of the fleet.  */
+struct lim *plr_limits (struct plr *p);
+/* Decides again on the statements of ACCOUNT that wait for its limit; NULL: of
+   all accounts.  */
+void plr_decide_held (struct plr *p, const char *account, int64_t now_us);
+/* Counts of operations by account, valid as long as P.  */
+struct usg_set *plr_usage (struct plr *p);
+
 /* For the failover on the session path.  */
 
 /* The known services, by name (struct svc *).  */
--- a/packages/core/poolercommand.c
+++ b/packages/core/poolercommand.c
@@ -68,7 +68,7 @@
     plr_send_command (p, link, now_us);
   else if (i->n_opening == 0 && now_us >= i->open_after_us
            && i->links->len < MAX (i->limits.max_links, 1))
-    plr_open_link (p, i, now_us);
+    plr_open_link (p, i, NULL, now_us);
 }
 
 /* Returns true if I has replied to such a command that was sent at or after
--- a/packages/core/poolerdir.c
+++ b/packages/core/poolerdir.c
@@ -43,8 +43,11 @@
       EV_INT ("version", (int64_t)config->version),
       EV_INT ("before", (int64_t)plr_config_version (p)),
       EV_INT ("routes", g_hash_table_size (config->routes)),
-      EV_INT ("services", g_hash_table_size (config->services)));
+      EV_INT ("services", g_hash_table_size (config->services)),
+      EV_INT ("accounts",
+              config->accounts ? acc_table_count (config->accounts) : 0));
   ctr_add (p->options.counters, CTR_CONFIG_ADOPTED, 1);
+  lim_set_accounts (p->limits, config->accounts);
   dir_config_free (p->config);
   p->config = config;
   g_hash_table_iter_init (&iter, config->services);
@@ -60,6 +63,9 @@
         p->vms.generation++;
       s->connections_max = d->connections_max;
       s->sync_replicas = d->sync_replicas;
+      if (s->by_account != (config->accounts != NULL))
+        p->vms.generation++;
+      s->by_account = config->accounts != NULL;
     }
   return true;
 }
--- a/packages/core/poolerdispatch.c
+++ b/packages/core/poolerdispatch.c
@@ -2,6 +2,7 @@
 #include "poolerint.h"
 
 #include "rendezvous.h"
+#include <string.h>
 
 /* Margin on the maximum age for clocks that run at slightly different
    speeds.  */
@@ -69,6 +70,20 @@
     }
 }
 
+static void
+choose_homes (struct plr *p, const struct svc *s, struct svc_instance *i)
+{
+  if (s->by_account)
+    {
+      vmt_choose_account_homes (&p->vms, i->entry, s->connections_max,
+                                &i->homes);
+      i->limits = plc_account_limits_for (i, s->connections_max);
+      return;
+    }
+  vmt_choose_homes (&p->vms, i->entry, s->connections_max, &i->homes);
+  i->limits = plc_limits_for (i, s->connections_max, p->vms.vms->len);
+}
+
 void
 plr_update_homes (struct plr *p, struct svc *s)
 {
@@ -78,8 +93,7 @@
 
       if (i->homes.generation == p->vms.generation)
         continue;
-      vmt_choose_homes (&p->vms, i->entry, s->connections_max, &i->homes);
-      i->limits = plc_limits_for (i, s->connections_max, p->vms.vms->len);
+      choose_homes (p, s, i);
       close_former_home_links (p, i);
     }
 }
@@ -125,6 +139,8 @@
 bool
 plr_has_surplus (const struct svc_instance *i)
 {
+  if (i->svc->by_account)
+    return plc_count_direct (i) > i->limits.fair_share;
   return i->links->len > MAX (i->limits.fair_share, 1);
 }
 
@@ -201,9 +217,39 @@
   return best;
 }
 
-/* Returns the proxy through which to reach I, NULL = directly.  */
+/* The arguments of is_skipped.  */
+struct skip
+{
+  const struct plr *p;
+  int64_t now_us;
+};
+
+static bool
+is_skipped (void *arg, const struct vmt_vm *vm)
+{
+  const struct skip *skip = arg;
+
+  return is_failed_home (skip->p, vm, skip->now_us);
+}
+
+/* Returns the home of I that holds the connections of ACCOUNT, NULL = this
+   proxy.  */
+static const struct vmt_vm *
+choose_account_home (const struct plr *p, const struct svc_instance *i,
+                     const char *account, int64_t now_us)
+{
+  struct skip skip = { p, now_us };
+  const struct vmt_vm *home
+      = vmt_find_account_home (&i->homes, account, is_skipped, &skip);
+
+  return home && strcmp (home->name, p->options.vm) == 0 ? NULL : home;
+}
+
+/* Returns the proxy through which to reach I for ACCOUNT (NULL: any), NULL =
+   directly.  */
 static const struct vmt_vm *
-choose_home (const struct plr *p, const struct svc_instance *i, int64_t now_us)
+choose_home (const struct plr *p, const struct svc_instance *i,
+             const char *account, int64_t now_us)
 {
   const struct vmt_homes *h = &i->homes;
   const struct vmt_vm *relay_proxy = find_relay_proxy (p, i, now_us);
@@ -211,26 +257,55 @@
 
   if (relay_proxy)
     return relay_proxy;
+  if (account && i->svc->by_account && !h->direct)
+    return choose_account_home (p, i, account, now_us);
   if (h->direct || h->includes_own || h->n == 0)
     return NULL;
   home = find_working_home (p, i, now_us);
   return home ? home : h->vms[rdv_weight (i->entry->id, p->options.vm) % h->n];
 }
 
+/* Implements struct plc_paths.  */
+struct paths
+{
+  struct plc_paths paths;
+  const struct plr *p;
+};
+
+static const struct vmt_vm *
+find_path (const struct plc_paths *paths, const struct svc_instance *i,
+           const char *account, int64_t now_us)
+{
+  return choose_home (((const struct paths *)paths)->p, i, account, now_us);
+}
+
+static void
+set_last_account (struct svc_instance *i, const char *account)
+{
+  if (g_strcmp0 (i->last_account, account) == 0)
+    return;
+  g_free (i->last_account);
+  i->last_account = g_strdup (account);
+}
+
 struct ul *
-plr_open_link (struct plr *p, struct svc_instance *i, int64_t now_us)
+plr_open_link (struct plr *p, struct svc_instance *i, const char *account,
+               int64_t now_us)
 {
   const struct vmt_vm *home;
 
   plr_update_homes (p, i->svc);
-  home = choose_home (p, i, now_us);
+  home = choose_home (p, i, account, now_us);
   i->n_opening++;
   if (home)
-    return ul_new (p->options.upstreams, i, home, now_us);
+    return ul_new (p->options.upstreams, i, home, NULL, now_us);
+  if (account)
+    set_last_account (i, account);
   ctr_add (p->options.counters, CTR_CONNECTION_OPENED, 1);
   if (i->probe_sent_us == 0)
     i->probe_sent_us = now_us;
-  return ul_new (p->options.upstreams, i, NULL, now_us);
+  return ul_new (p->options.upstreams, i, NULL,
+                 i->svc->by_account ? i->last_account : NULL, now_us);
 }
 
 /* Returns true if X is to be served before Y, which joined the queue
@@ -325,6 +400,7 @@
   ctr_add (p->options.counters, CTR_STATEMENTS, 1);
   note_sent (s, now_us);
   out.urgency = urgency_of (p, s, now_us);
+  out.account = s->account;
   ul_send (s->link, UL_STATEMENT, min_position, &out, s, now_us);
 }
 
@@ -338,6 +414,7 @@
   struct stm begin = { .kind = need->confirm ? STM_BEGIN : STM_BEGIN_READ };
 
   begin.urgency = urgency_of (p, s, now_us);
+  begin.account = s->account;
   note_sent (s, now_us);
   s->awaits_begin = true;
   ul_send (s->link, UL_BEGIN, need->min_position, &begin, s, now_us);
@@ -418,13 +495,26 @@
 open_for_waiting (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
   if (i->n_opening < MIN (g_queue_get_length (&i->svc->waiting), 2))
-    plr_open_link (p, i, now_us);
+    plr_open_link (p, i, NULL, now_us);
+}
+
+void
+plr_open_for_account (struct plr *p, const struct plc_choice *choice,
+                      const char *account, int64_t now_us)
+{
+  if (choice->decision == PLC_REPLACE)
+    {
+      ctr_add (p->options.counters, CTR_LINKS_REPLACED, 1);
+      plr_close_link (p, choice->link, now_us);
+    }
+  plr_open_link (p, choice->instance, account, now_us);
 }
 
 void
 plr_dispatch (struct plr *p, struct ses *s, int64_t now_us)
 {
   struct svc *svc = s->work.svc;
+  struct paths paths = { { find_path }, p };
   struct plc_need need;
   struct plc_choice choice;
   bool entering = s->stage != SES_WAITING;
@@ -452,8 +542,17 @@
     }
   if (need.primary_only && !svc->primary)
     plr_seek_primary (p, svc, now_us);
+  if (svc->by_account)
+    {
+      need.paths = &paths.paths;
+      need.account = s->account ? s->account : ACC_ANONYMOUS;
+      need.waited_us = now_us - s->arrived_us;
+    }
   choice = plc_choose (svc, &need, now_us);
-  if (choice.decision == PLC_OPEN)
+  if (svc->by_account
+      && (choice.decision == PLC_OPEN || choice.decision == PLC_REPLACE))
+    plr_open_for_account (p, &choice, need.account, now_us);
+  else if (choice.decision == PLC_OPEN)
     open_for_waiting (p, choice.instance, now_us);
   if (choice.decision != PLC_USE)
     {
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -24,6 +24,9 @@
   GHashTable *failed_homes; /* name -> int64_t *, excluded until then */
   bool directory_reachable;
   enum plr_drain drain;
+  struct lim *limits;
+  struct usg_set *usage;
+  GQueue held;                         /* struct ses *, in stage SES_HELD */
   plr_request_yield_fn *request_yield; /* NULL: no proxy to request from */
   void *request_yield_arg;
 };
@@ -46,9 +49,13 @@
 struct stm plr_sync_link (struct ses *s, int64_t now_us);
 /* Dispatches the waiting statements of S, in queue order.  */
 void plr_dispatch_waiting (struct plr *p, struct svc *s, int64_t now_us);
-/* Starts opening a connection to I, directly or through a home.  */
+/* Starts opening a connection to I, directly or through a home, for ACCOUNT
+   (NULL: the last one that used one, or this proxy itself).  */
 struct ul *plr_open_link (struct plr *p, struct svc_instance *i,
-                          int64_t now_us);
+                          const char *account, int64_t now_us);
+/* Carries out CHOICE, to open or replace a connection, for ACCOUNT.  */
+void plr_open_for_account (struct plr *p, const struct plc_choice *choice,
+                           const char *account, int64_t now_us);
 /* Recomputes the homes and connection limits of the instances of S if the set
    of proxies has changed.  */
 void plr_update_homes (struct plr *p, struct svc *s);
@@ -70,6 +77,26 @@
 void plr_probe_link (struct plr *p, struct ul *link, bool primary,
                      int64_t now_us);
 
+/* pooleraccount.c */
+
+void plr_init_accounts (struct plr *p);
+void plr_free_accounts (struct plr *p);
+/* Records the key that the caller of S sent, may be NULL.  */
+void plr_set_key (struct ses *s, const char *key);
+/* Returns false if the caller of S may not use its database (any more).  */
+bool plr_is_allowed (const struct plr *p, const struct ses *s);
+/* Sets the account of S for work on route R.  Returns false if its caller may
+   not use it.  */
+bool plr_assign_account (struct plr *p, struct ses *s,
+                         const struct dir_route *r);
+/* Work of S that counts for the limit of its account follows shortly.  */
+void plr_expect_work (struct plr *p, const struct ses *s, int64_t now_us);
+/* Returns true if the limit of its account admits the statement of S.  Else
+   the statement is held until this is decided, or was refused.  */
+bool plr_admit (struct plr *p, struct ses *s, int64_t now_us);
+/* Takes S out of the queue of held statements, if it is there.  */
+void plr_leave_held (struct plr *p, struct ses *s);
+
 /* poolershed.c */
 
 /* Refuses the waiting statement of S when the load is too high to serve it
@@ -86,6 +113,9 @@
 /* Completes the statement of S with error CODE, for reason WHY.  */
 void plr_refuse (struct plr *p, struct ses *s, enum rfs why, enum sqc code,
                  int64_t now_us);
+/* The same with the error message DETAIL.  */
+void plr_refuse_with (struct plr *p, struct ses *s, enum rfs why,
+                      enum sqc code, const char *detail, int64_t now_us);
 /* Releases the connection of S and dispatches its statement again, not before
    DELAY_US from now.  */
 void plr_retry (struct plr *p, struct ses *s, enum rsn_retry why,
@@ -156,11 +186,14 @@
 struct svc *plr_get_service (struct plr *p, const char *name);
 /* Sends RESULT to the caller.  S may have been freed on return.  */
 void plr_reply (struct plr *p, struct ses *s, const struct stm_result *result);
-/* Makes STATEMENT the one under way in S and dispatches it.  */
+/* Makes STATEMENT the one under way in S, and starts it as soon as the limit
+   of its account admits it.  */
 void plr_accept_statement (struct plr *p, struct ses *s,
                            const struct stm *statement, bool writes,
                            int64_t now_us);
-/* Removes S from the queue of its service and from the list of active
+/* Ranks the statement under way in S and dispatches it.  */
+void plr_start_statement (struct plr *p, struct ses *s, int64_t now_us);
+/* Removes S from the queue that it is in and from the list of active
    sessions.  */
 void plr_leave_queues (struct plr *p, struct ses *s);
 /* Clears the state of the transaction or single statement of S.  */
--- a/packages/core/poolerrelay.c
+++ b/packages/core/poolerrelay.c
@@ -100,6 +100,19 @@
   ul_send (s->link, purpose_of (out.kind), s->min_position, &out, s, now_us);
 }
 
+/* Chooses the connection for the statement of S.  The other proxy's own
+   requests have no account and run on any of them.  */
+static struct plc_choice
+choose_link (const struct ses *s, struct svc_instance *i, int64_t now_us)
+{
+  bool needs_slot = s->rank > 0;
+
+  if (!i->svc->by_account || !s->account)
+    return plc_choose_at (i, needs_slot, now_us);
+  return plc_choose_account_link (i, s->account, now_us - s->arrived_us,
+                                  needs_slot, now_us);
+}
+
 void
 plr_dispatch_relay (struct plr *p, struct ses *s, int64_t now_us)
 {
@@ -115,9 +128,12 @@
   plr_enqueue (s);
   if (!i || i->unresponsive)
     return; /* until the instance is back, or RELAY_WAIT_US */
-  choice = plc_choose_at (i, s->rank > 0, now_us);
-  if (choice.decision == PLC_OPEN && i->n_opening < 2)
-    plr_open_link (p, i, now_us);
+  choice = choose_link (s, i, now_us);
+  if (choice.decision == PLC_REPLACE
+      || (choice.decision == PLC_OPEN && s->account))
+    plr_open_for_account (p, &choice, s->account, now_us);
+  else if (choice.decision == PLC_OPEN && i->n_opening < 2)
+    plr_open_link (p, i, NULL, now_us);
   if (choice.decision != PLC_USE)
     {
       if (entering)
@@ -180,6 +196,7 @@
       s->work.timeout_us = RELAY_WAIT_US;
       set_rank (p, s, &statement->urgency);
       s->max_wait_us = (int64_t)statement->urgency.max_wait_ms * 1000;
+      ses_set_account (s, statement->account);
       plr_accept_statement (p, s, statement, false, now_us);
     }
 }
--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -53,6 +53,7 @@
 void
 plr_leave_queues (struct plr *p, struct ses *s)
 {
+  plr_leave_held (p, s);
   if (s->stage == SES_WAITING)
     g_queue_unlink (&s->work.svc->waiting, &s->waiting_node);
   if (s->stage != SES_IDLE)
@@ -122,6 +123,13 @@
 void
 plr_refuse (struct plr *p, struct ses *s, enum rfs why, enum sqc code,
             int64_t now_us)
+{
+  plr_refuse_with (p, s, why, code, rfs_text (why), now_us);
+}
+
+void
+plr_refuse_with (struct plr *p, struct ses *s, enum rfs why, enum sqc code,
+                 const char *detail, int64_t now_us)
 {
   struct stm_result result = { 0 };
   bool ends = !s->work.transaction || s->statement.kind == STM_COMMIT;
@@ -131,13 +139,14 @@
   EV (p->options.log, now_us, EV_REFUSED, EV_TEXT ("id", s->statement.id),
       EV_TEXT ("database", s->database), EV_TEXT ("why", rfs_name (why)),
       EV_TEXT ("code", sqc_name (code)), EV_TEXT ("kind", kind_name (s)),
+      EV_TEXT ("account", s->account),
       EV_TEXT ("instance", s->link    ? s->link->instance->entry->id
                            : s->avoid ? s->avoid->entry->id
                                       : ""),
       EV_INT ("tries", s->tries), EV_INT ("waited_us", now_us - s->arrived_us),
       EV_INT ("sent_us", s->sent_us > 0 ? now_us - s->sent_us : -1));
   result.code = code;
-  result.detail = rfs_text (why);
+  result.detail = detail;
   result.state = ends ? STM_IDLE : STM_FAILED;
   plr_leave_queues (p, s);
   plr_release_link (p, s, now_us);
--- a/packages/core/poolerwatch.c
+++ b/packages/core/poolerwatch.c
@@ -44,6 +44,8 @@
 #define SURPLUS_IDLE_US 500000
 /* The same within the share; one connection to the primary is kept.  */
 #define SPARE_IDLE_US 2000000
+/* The same for a direct connection that belongs to an account.  */
+#define ACCOUNT_IDLE_US 30000000
 /* Interval of the requests to other proxies to close a connection.  */
 #define YIELD_REQUEST_EVERY_US 100000
 /* An instance without a directory entry is removed after this time.  */
@@ -125,7 +127,7 @@
     plr_probe_link (p, link, primary, now_us);
   else if (i->n_opening == 0 && now_us >= i->open_after_us
            && (!primary || i->links->len == 0))
-    plr_open_link (p, i, now_us);
+    plr_open_link (p, i, NULL, now_us);
 }
 
 static bool
@@ -154,7 +156,7 @@
     probe_instance (p, i, false, now_us);
   else if ((i->unresponsive || i->refused_since_us > 0) && i->n_opening == 0
            && i->missing_since_us == 0 && now_us >= i->open_after_us)
-    plr_open_link (p, i, now_us);
+    plr_open_link (p, i, NULL, now_us);
 }
 
 /* Closes connections that went silent while the instance replies on others:
@@ -192,8 +194,10 @@
 
   if (!ul_is_idle (link))
     return false;
-  if (plr_has_surplus (i))
+  if (plr_has_surplus (i) && !(i->svc->by_account && link->home))
     return idle_us >= SURPLUS_IDLE_US;
+  if (i->svc->by_account)
+    return idle_us >= (link->home ? SPARE_IDLE_US : ACCOUNT_IDLE_US);
   if (i->links->len > 1)
     return idle_us >= SPARE_IDLE_US;
   return i->svc->primary && i->svc->primary != i && idle_us >= SPARE_IDLE_US;
@@ -510,6 +514,8 @@
       next = l->next;
       watch_statement (p, l->data, now_us);
     }
+  if (lim_tick (p->limits, now_us))
+    plr_decide_held (p, NULL, now_us);
   end_idle_transactions (p, now_us);
   g_hash_table_iter_init (&iter, p->services);
   while (vmt_check_complete (&p->vms, now_us)
--- a/packages/core/service.c
+++ b/packages/core/service.c
@@ -32,6 +32,7 @@
 {
   g_ptr_array_free (i->links, TRUE);
   dir_instance_free (i->entry);
+  g_free (i->last_account);
   g_free (i->relay_peer);
   g_free (i);
 }
--- a/packages/core/service.h
+++ b/packages/core/service.h
@@ -61,6 +61,7 @@
   int64_t missing_since_us;   /* its entry is gone since, 0 = registered */
   int64_t draining_since_us;  /* its entry says draining since, 0 = not */
   struct vmt_homes homes;     /* proxies that hold connections to it */
+  char *last_account;         /* of the last direct link, NULL = none */
   char *relay_peer;           /* a peer that reaches it, NULL = none known */
   int64_t relay_until_us;     /* RELAY_PEER is used until then */
   struct svc_limits limits;   /* of this proxy, computed from HOMES */
@@ -107,6 +108,7 @@
   char *name;
   int32_t connections_max;
   int32_t sync_replicas;        /* see struct dir_service */
+  bool by_account;              /* each connection belongs to one account */
   GPtrArray *instances;         /* struct svc_instance * */
   struct svc_instance *primary; /* the confirmed one, NULL = unknown */
   int64_t no_primary_since_us;  /* 0 while one is confirmed */
--- a/packages/core/session.c
+++ b/packages/core/session.c
@@ -101,6 +101,7 @@
 {
   ses_reset (s, table);
   g_free (s->relay_instance);
+  g_free (s->account);
   g_free (s->text);
   g_free (s->database);
   g_free (s);
@@ -138,6 +139,7 @@
   s->statement.id = append_text (&at, statement->id);
   s->statement.name = append_text (&at, statement->name);
   s->statement.args = append_text (&at, statement->args);
+  s->statement.account = NULL;
   s->arrived_us = now_us;
   s->retry_after_us = 0;
   s->tries = 0;
@@ -148,6 +150,15 @@
   s->proxy_transaction = false;
 }
 
+void
+ses_set_account (struct ses *s, const char *account)
+{
+  if (g_strcmp0 (s->account, account) == 0)
+    return;
+  g_free (s->account);
+  s->account = g_strdup (account);
+}
+
 void
 ses_clear_statement (struct ses *s, int64_t now_us)
 {
--- a/packages/core/session.h
+++ b/packages/core/session.h
@@ -30,6 +30,7 @@
 enum ses_stage
 {
   SES_IDLE,    /* no statement under way */
+  SES_HELD,    /* waits until the limit of its account admits it */
   SES_WAITING, /* queued for a connection */
   SES_SENT     /* waits for the upstream's reply */
 };
@@ -44,6 +45,7 @@
   bool idle_timeout;  /* it was ended because it was idle too long */
   bool link_lost;     /* its connection was lost between statements */
   bool replied;       /* a statement of it was reported as succeeded */
+  bool admitted;      /* the limit of its account admitted it */
   int64_t arrived_us; /* taken right after its first byte was read */
   struct svc *svc;    /* NULL until the route is looked up */
   enum dir_read_consistency reads;
@@ -56,9 +58,12 @@
 
 struct ses
 {
-  void *tag;                  /* opaque, owned by the adapter */
-  char *database;             /* of a relay session: the service */
-  char *relay_instance;       /* NULL = not a relay session */
+  void *tag;            /* opaque, owned by the adapter */
+  char *database;       /* of a relay session: the service */
+  char *relay_instance; /* NULL = not a relay session */
+  bool has_key;         /* KEY is valid: the caller sent one */
+  struct acc_digest key;
+  char *account; /* of the work under way, or the last one; NULL = none */
   struct logpos min_position; /* required for its next statement */
   enum stm_state state;
   GHashTable *values;     /* name -> value, NULL until one is set */
@@ -88,7 +93,7 @@
   int64_t idle_since_us;            /* when the last statement ended */
   GList node;                       /* in plr.sessions */
   GList active_node;                /* in plr.active */
-  GList waiting_node;               /* in svc.waiting */
+  GList waiting_node;               /* in svc.waiting or plr.held */
 };
 
 struct ses *ses_new (void *tag, const char *database, int64_t now_us);
@@ -97,6 +102,8 @@
 /* Copies STATEMENT as the one under way and resets its retry state.  */
 void ses_set_statement (struct ses *s, const struct stm *statement,
                         int64_t now_us);
+/* Sets the account, which is copied.  */
+void ses_set_account (struct ses *s, const char *account);
 /* Ends the statement under way; S becomes idle.  */
 void ses_clear_statement (struct ses *s, int64_t now_us);
 
--- a/packages/core/statement.h
+++ b/packages/core/statement.h
@@ -48,6 +48,7 @@
   const char *args;
   uint32_t term; /* of STM_STEP_DOWN and STM_PAUSE */
   struct stm_urgency urgency;
+  const char *account; /* whose connections it may run on, NULL = any */
 };
 
 /* An instance's reply to STM_STATUS and to the commands after it.  */
--- a/packages/core/uplink.c
+++ b/packages/core/uplink.c
@@ -6,7 +6,7 @@
 
 struct ul *
 ul_new (struct ul_port *port, struct svc_instance *instance,
-        const struct vmt_vm *home, int64_t now_us)
+        const struct vmt_vm *home, const char *account, int64_t now_us)
 {
   struct ul *link = g_new0 (struct ul, 1);
 
@@ -18,6 +18,7 @@
   link->idle_since_us = now_us;
   g_ptr_array_add (instance->links, link);
   link->home = home ? g_strdup (home->name) : NULL;
+  link->account = home ? NULL : g_strdup (account);
   link->handle = port->ops->open (port, link, instance->entry,
                                   home ? home->address : NULL);
   return link;
@@ -40,6 +41,7 @@
   ul_close (link);
   g_array_free (link->requests, TRUE);
   g_free (link->home);
+  g_free (link->account);
   if (link->values)
     g_hash_table_destroy (link->values);
   if (link->prepared)
--- a/packages/core/uplink.h
+++ b/packages/core/uplink.h
@@ -69,6 +69,9 @@
   void *handle;
   struct svc_instance *instance;
   char *home; /* name of the proxy that forwards to it, NULL = direct link */
+  /* The account in whose name it was opened, NULL = this proxy itself.  Only
+     for a direct link; one through a home serves all accounts.  */
+  char *account;
   enum ul_phase phase;
   GArray *requests;       /* struct ul_request, oldest first */
   enum stm_state state;   /* transaction state in the last reply */
@@ -87,9 +90,11 @@
 };
 
 /* Starts opening a link to INSTANCE, through HOME or directly if that is NULL,
-   and adds it to the links of the instance.  */
+   and adds it to the links of the instance.  ACCOUNT is that of a direct link,
+   may be NULL.  */
 struct ul *ul_new (struct ul_port *port, struct svc_instance *instance,
-                   const struct vmt_vm *home, int64_t now_us);
+                   const struct vmt_vm *home, const char *account,
+                   int64_t now_us);
 /* Closes the connection and removes it from its instance.  LINK itself stays
    valid until ul_free.  */
 void ul_close (struct ul *link);
--- a/packages/core/vmtable.c
+++ b/packages/core/vmtable.c
@@ -184,21 +184,12 @@
          && (int64_t)n_vms * DIRECT_LINKS_PER_VM_MIN <= connections_max;
 }
 
-void
-vmt_choose_homes (const struct vmt_table *t,
-                  const struct dir_instance *instance, int32_t connections_max,
-                  struct vmt_homes *out)
+static void
+choose_best (const struct vmt_table *t, const struct dir_instance *instance,
+             uint32_t max, struct vmt_homes *out)
 {
   double scores[VMT_HOMES_MAX] = { 0 };
-  uint32_t max
-      = CLAMP ((uint32_t)MAX (connections_max, 0) / VMT_LINKS_PER_HOME, 2,
-               VMT_HOMES_MAX);
 
-  memset (out, 0, sizeof *out);
-  out->generation = t->generation;
-  out->direct = may_connect_directly (t->vms->len, connections_max);
-  if (out->direct)
-    return;
   for (guint i = 0; i < t->vms->len; i++)
     {
       const struct vmt_vm *vm = g_ptr_array_index (t->vms, i);
@@ -207,3 +198,58 @@
     }
   out->includes_own = vmt_is_home (out, t->own_name);
 }
+
+static uint32_t
+count_homes (int32_t connections_max, uint32_t per_home)
+{
+  return CLAMP ((uint32_t)MAX (connections_max, 0) / per_home, 2,
+                VMT_HOMES_MAX);
+}
+
+void
+vmt_choose_homes (const struct vmt_table *t,
+                  const struct dir_instance *instance, int32_t connections_max,
+                  struct vmt_homes *out)
+{
+  memset (out, 0, sizeof *out);
+  out->generation = t->generation;
+  out->direct = may_connect_directly (t->vms->len, connections_max);
+  if (!out->direct)
+    choose_best (t, instance,
+                 count_homes (connections_max, VMT_LINKS_PER_HOME), out);
+}
+
+void
+vmt_choose_account_homes (const struct vmt_table *t,
+                          const struct dir_instance *instance,
+                          int32_t connections_max, struct vmt_homes *out)
+{
+  memset (out, 0, sizeof *out);
+  out->generation = t->generation;
+  out->direct = t->vms->len <= 1;
+  if (!out->direct)
+    choose_best (t, instance,
+                 count_homes (connections_max, VMT_ACCOUNT_LINKS_PER_HOME),
+                 out);
+}
+
+const struct vmt_vm *
+vmt_find_account_home (const struct vmt_homes *h, const char *account,
+                       vmt_skip_fn *skip, void *arg)
+{
+  const struct vmt_vm *best = NULL;
+  const struct vmt_vm *first = NULL;
+
+  for (uint32_t k = 0; k < h->n; k++)
+    {
+      const struct vmt_vm *vm = h->vms[k];
+      uint64_t weight = rdv_weight (account, vm->name);
+
+      if (!first || weight > rdv_weight (account, first->name))
+        first = vm;
+      if (!skip (arg, vm)
+          && (!best || weight > rdv_weight (account, best->name)))
+        best = vm;
+    }
+  return best ? best : first;
+}
--- a/packages/core/vmtable.h
+++ b/packages/core/vmtable.h
@@ -17,6 +17,9 @@
    serves.  */
 #define VMT_HOMES_MAX 4
 #define VMT_LINKS_PER_HOME 8
+/* The same where each connection belongs to one account: more connections at
+   one place serve more accounts without being opened anew.  */
+#define VMT_ACCOUNT_LINKS_PER_HOME 12
 
 /* A proxy of the deployment, named after its VM.  */
 struct vmt_vm
@@ -81,5 +84,17 @@
 void vmt_choose_homes (const struct vmt_table *t,
                        const struct dir_instance *instance,
                        int32_t connections_max, struct vmt_homes *out);
+/* The same where connections belong to accounts: all proxies use homes.  */
+void vmt_choose_account_homes (const struct vmt_table *t,
+                               const struct dir_instance *instance,
+                               int32_t connections_max, struct vmt_homes *out);
+/* Returns true if the home VM is not to be used at present.  */
+typedef bool vmt_skip_fn (void *arg, const struct vmt_vm *vm);
+/* Returns the home of H that holds the connections of ACCOUNT, so that few
+   places open connections for it: the first choice that SKIP does not exclude,
+   or the first one if all are excluded.  NULL if H has no homes.  */
+const struct vmt_vm *vmt_find_account_home (const struct vmt_homes *h,
+                                            const char *account,
+                                            vmt_skip_fn *skip, void *arg);
 
 #endif
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -4,11 +4,18 @@
 
 #include <string.h>
 
+#define US_PER_MS 1000
+/* Longest wait for the next operation of an account that a peer may ask for.
+ */
+#define LIMIT_WAIT_MAX_MS 10000
+
 struct cluster
 {
   struct cluster_options options;
   struct sfo_port port;
+  struct lim_port limit_port;
   struct sfo *sfo;
+  struct lim *limits; /* of the pooler */
   struct fed *feed;
   struct peers *peers;
   GHashTable *vms; /* name -> address for peers, this proxy included */
@@ -112,6 +119,61 @@
     send_to_peer (c, holders->vms[k]->name, &m);
 }
 
+static struct cluster *
+get_cluster_of_limits (struct lim_port *port)
+{
+  return (struct cluster *)((char *)port
+                            - offsetof (struct cluster, limit_port));
+}
+
+/* Requests operations of an account from VM.  */
+static void
+on_limit_request (struct lim_port *port, const char *vm,
+                  const struct qlm_request *request)
+{
+  struct gsp_message m = make_message (GSP_LIMIT_REQUEST, NULL, NULL);
+
+  m.limit.account = (char *)request->account;
+  m.limit.part = request->part;
+  m.limit.serial = request->serial;
+  m.limit.needed = request->needed;
+  m.limit.wanted = request->wanted;
+  send_to_peer (get_cluster_of_limits (port), vm, &m);
+}
+
+static const struct lim_port_ops limit_port_ops = { on_limit_request };
+
+/* Grants operations of an account to FROM.  */
+static void
+on_limit_requested (struct cluster *c, const char *from,
+                    const struct gsp_limit *limit, int64_t now_us)
+{
+  struct gsp_message grant = make_message (GSP_LIMIT_GRANT, NULL, NULL);
+  const struct qlm_request request
+      = { limit->account, limit->part, limit->serial, limit->needed,
+          limit->wanted };
+  struct qgr_reply reply;
+
+  lim_grant (c->limits, &request, now_us, &reply);
+  grant.limit = *limit;
+  grant.limit.granted = reply.granted;
+  grant.limit.wait_ms = (uint64_t)reply.wait_us / US_PER_MS;
+  send_to (c, from, NULL, &grant);
+}
+
+static void
+on_limit_granted (struct cluster *c, const struct gsp_limit *limit,
+                  int64_t now_us)
+{
+  struct qgr_reply reply = { 0 };
+
+  reply.granted = limit->granted;
+  reply.wait_us = (int64_t)MIN (limit->wait_ms, LIMIT_WAIT_MAX_MS) * US_PER_MS;
+  lim_granted (c->limits, limit->account, limit->part, limit->serial, &reply,
+               now_us);
+  plr_decide_held (c->options.pooler, limit->account, now_us);
+}
+
 static const struct sfo_port_ops failover_port_ops
     = { on_claim, on_promote, on_request_votes };
 
@@ -219,6 +281,12 @@
     case GSP_DELTA:
       on_updates (c, &m, now_us);
       break;
+    case GSP_LIMIT_REQUEST:
+      on_limit_requested (c, from, &m.limit, now_us);
+      break;
+    case GSP_LIMIT_GRANT:
+      on_limit_granted (c, &m.limit, now_us);
+      break;
     case GSP_KIND_END:
       break;
     }
@@ -254,6 +322,9 @@
   so.tokens_are_checked = options->tokens_are_checked;
   c->sfo = sfo_new (&so);
   plr_set_request_yield (options->pooler, on_out_of_connections, c);
+  c->limits = plr_limits (options->pooler);
+  c->limit_port.ops = &limit_port_ops;
+  lim_set_port (c->limits, &c->limit_port);
   fo.vms = plr_vms (options->pooler);
   fo.vm = options->vm;
   fo.data_centre = options->data_centre;
@@ -277,6 +348,7 @@
     return;
   if (c->peers)
     peers_free (c->peers);
+  lim_set_port (c->limits, NULL);
   sfo_free (c->sfo);
   fed_free (c->feed);
   g_hash_table_destroy (c->vms);
@@ -295,9 +367,26 @@
   return c->feed;
 }
 
+/* NAME takes no more work.  */
+static void
+forget_vm (struct cluster *c, const char *name, int64_t now_us)
+{
+  if (!g_hash_table_remove (c->vms, name))
+    return;
+  EV (c->options.log, now_us, EV_PEER, EV_TEXT ("peer", name),
+      EV_TEXT ("what", "gone"));
+  plr_remove_vm (c->options.pooler, name);
+}
+
 void
 cluster_set_vm (struct cluster *c, const struct cluster_vm *vm, int64_t now_us)
 {
+  qgs_note_listed (lim_fleet (c->limits), vm->name, now_us);
+  if (vm->stopping)
+    {
+      forget_vm (c, vm->name, now_us);
+      return;
+    }
   if (!g_hash_table_contains (c->vms, vm->name))
     EV (c->options.log, now_us, EV_PEER, EV_TEXT ("peer", vm->name),
         EV_TEXT ("what", "listed"));
@@ -309,11 +398,8 @@
 void
 cluster_remove_vm (struct cluster *c, const char *name, int64_t now_us)
 {
-  if (!g_hash_table_remove (c->vms, name))
-    return;
-  EV (c->options.log, now_us, EV_PEER, EV_TEXT ("peer", name),
-      EV_TEXT ("what", "gone"));
-  plr_remove_vm (c->options.pooler, name);
+  qgs_note_gone (lim_fleet (c->limits), name, now_us);
+  forget_vm (c, name, now_us);
 }
 
 void
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -136,12 +136,14 @@
 start_session (struct caller *c, const struct codec_caller *m, int64_t now_us)
 {
   struct gate *g = c->gate;
+  enum sqc code = SQC_NO_DATABASE;
 
   if (c->relay)
     c->session
         = plr_open_relay (g->pooler, c, m->database, m->instance, now_us);
   else
-    c->session = plr_open_session (g->pooler, c, m->database, now_us);
+    c->session
+        = plr_open_session (g->pooler, c, m->database, m->key, now_us, &code);
   if (c->session)
     {
       g->options.codec->ops->write_started (g->options.codec,
@@ -149,8 +151,8 @@
       return;
     }
   g->options.codec->ops->write_refused (
-      g->options.codec, stream_output (c->stream), SQC_NO_DATABASE,
-      rfs_text (RFS_NO_ROUTE));
+      g->options.codec, stream_output (c->stream), code,
+      rfs_text (code == SQC_DENIED ? RFS_UNKNOWN_KEY : RFS_NO_ROUTE));
   close_caller (c, true);
 }
 
@@ -278,7 +280,8 @@
   struct gate *g = u->gate;
 
   g->options.codec->ops->write_start (
-      g->options.codec, stream_output (u->stream), u->link->instance->entry);
+      g->options.codec, stream_output (u->stream), u->link->instance->entry,
+      u->link->account);
 }
 
 static void
--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -205,7 +205,7 @@
 {
   char *why;
 
-  dir_config_free (rec_decode_config (text, len, &why));
+  dir_config_free (rec_decode_config (text, len, NULL, &why));
   g_free (why);
   dir_instance_free (rec_decode_instance ("i-1", text, len, &why));
   g_free (why);
--- a/tests/unit/fleetcallers.cc
+++ b/tests/unit/fleetcallers.cc
@@ -58,8 +58,9 @@
   c->attempt_us = w->now_us;
   c->paused_us = 0;
   c->statements_left = w->o.statements + 1;
+  enum sqc code;
   c->session = plr_open_session (c->vm->pooler, c->tag, c->database.c_str (),
-                                 w->now_us);
+                                 nullptr, w->now_us, &code);
   SendNext (c, c->call.transaction);
 }
 
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -392,7 +392,7 @@
     {
       char *why;
       struct dir_config *config
-          = rec_decode_config (c.text.data (), c.text.size (), &why);
+          = rec_decode_config (c.text.data (), c.text.size (), nullptr, &why);
       EXPECT_EQ (config != NULL, c.good) << c.text;
       g_free (why);
       if (config)
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -397,6 +397,8 @@
   o.data_centre = "a";
   o.regions = regions;
   o.drain_grace_us = 5000000;
+  o.accounts.terms = { 5000000, 0.1, 20 };
+  o.accounts.entry_ttl_us = 8000000;
   pooler = plr_new (&o);
   so.pooler = pooler;
   so.port = &failover_port.port;
@@ -510,14 +512,18 @@
 }
 
 Caller *
-PoolWorld::Open (const std::string &database)
+PoolWorld::Open (const std::string &database, const char *key)
 {
   auto c = std::make_unique<Caller> ();
 
   c->world = this;
   c->name = "s" + std::to_string (callers.size ());
   c->database = database;
-  c->session = plr_open_session (pooler, c.get (), database.c_str (), now_us);
+  enum sqc code;
+  c->session = plr_open_session (pooler, c.get (), database.c_str (), key,
+                                 now_us, &code);
+  if (!c->session)
+    c->last = sqc_name (code);
   callers.push_back (std::move (c));
   return callers.back ().get ();
 }
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -137,7 +137,7 @@
   // Writes or updates the directory entry of I.
   void Register (struct dbm_instance *i, bool draining = false,
                  int64_t born_ms = 0);
-  Caller *Open (const std::string &database);
+  Caller *Open (const std::string &database, const char *key = nullptr);
   // Opens a relay session of another proxy.
   Caller *OpenRelay (const char *instance);
   // Sends one statement; the reply arrives in Run.
--- a/tests/unit/registry_test.cc
+++ b/tests/unit/registry_test.cc
@@ -72,6 +72,8 @@
   s.reachable = [] (void *, bool) {};
   s.vm = [] (void *, const struct cluster_vm *) {};
   s.vm_gone = [] (void *, const char *) {};
+  s.renewed = [] (void *, int64_t) {};
+  s.entry_lost = [] (void *) {};
   s.claim = [] (void *, const struct sfo_claim *) {};
   s.claim_result = [] (void *, const char *, uint64_t, bool) {};
   s.arg = w;
