Store: positions hold the era, and a store back from a copy is listed anew

Cause: revisions ordered the cache, the deltas between proxies and the claims, and a claim's revision is the fencing token; after a return of the store from a copy they go back and are given out again. Deltas have message kinds of their own, so that older versions, which know no eras, ignore them and watch the store themselves.

--- a/packages/accounts/accountlimits.c
+++ b/packages/accounts/accountlimits.c
@@ -12,8 +12,8 @@
   struct qlm *limiter;
   struct qgr *grantor;
   struct qgs *fleet;
-  GHashTable *unanswered; /* VM -> int64_t *, when the first request was sent to
-                             it that it has not replied to */
+  GHashTable *unanswered; /* VM -> int64_t *, when the first request was sent
+                             to it that it has not replied to */
   const struct acc_table *accounts;
   struct lim_counts counts;
   char *own;
@@ -42,8 +42,8 @@
   return false;
 }
 
-/* Sends a request to the grantor VM.  One that did not reply to others, perhaps
-   about other accounts, is not waited for.  */
+/* Sends a request to the grantor VM.  One that did not reply to others,
+   perhaps about other accounts, is not waited for.  */
 static void
 send_request (struct lim *l, const char *vm, const struct qlm_request *request)
 {
@@ -190,9 +190,8 @@
 }
 
 void
-lim_granted (struct lim *l, const char *vm, const char *account,
-             uint32_t part, uint64_t serial, const struct qgr_reply *reply,
-             int64_t now_us)
+lim_granted (struct lim *l, const char *vm, const char *account, uint32_t part,
+             uint64_t serial, const struct qgr_reply *reply, int64_t now_us)
 {
   g_hash_table_remove (l->unanswered, vm);
   l->now_us = now_us;
--- a/packages/accounts/grantor.c
+++ b/packages/accounts/grantor.c
@@ -86,7 +86,7 @@
    QGR_VALID_US later, so that a window sees the grants of a longer time.  The
    depth is the slack and a share of the burst; the rest of the bound is spread
    over the window, since an account may use the whole bound in each.  A bound
-   of less than one operation for each part belongs to the first part alone.  */
+   of less than one operation for each part belongs to the first part alone. */
 static struct dimensions
 dimension (const struct qgr_terms *terms, const struct acc_limit *limit,
            uint32_t part)
@@ -229,7 +229,8 @@
            struct qgr_reply *reply)
 {
   double share = share_of (g, standing, now_us);
-  struct dimensions d = dimension (&g->options.terms, &request->limit, request->part);
+  struct dimensions d
+      = dimension (&g->options.terms, &request->limit, request->part);
   struct bucket *b;
 
   memset (reply, 0, sizeof *reply);
--- a/packages/accounts/grantor.h
+++ b/packages/accounts/grantor.h
@@ -19,7 +19,7 @@
 
 #include "account.h"
 
-/* Enough that the loss of a third of the proxies leaves most of each limit.  */
+/* Enough that the loss of a third of the proxies leaves most of each limit. */
 #define QGR_PARTS 4
 /* How long a proxy may use a grant, from when it sent the request.  */
 #define QGR_VALID_US 200000
--- a/packages/accounts/grantorset.c
+++ b/packages/accounts/grantorset.c
@@ -137,14 +137,15 @@
   s->founding = founding;
 }
 
-/* The entry was lost and is written again.  Unless it was missing for too short
-   a time for that, another proxy may have taken over.  It ended no earlier than
-   its time to live after it was confirmed, if the directory lost nothing.  */
+/* The entry was lost and is written again.  Unless it was missing for too
+   short a time for that, another proxy may have taken over.  It ended no
+   earlier than its time to live after it was confirmed, if the directory lost
+   nothing.  */
 static void
 rejoin (struct qgs *s, int64_t sent_us)
 {
-  int64_t ended_us = s->confirmed_us
-                     + (s->directory_reset ? 0 : s->options.entry_ttl_us);
+  int64_t ended_us
+      = s->confirmed_us + (s->directory_reset ? 0 : s->options.entry_ttl_us);
 
   s->directory_reset = false;
   if (sent_us - ended_us < s->options.entry_ttl_us - NOTICE_US)
--- a/packages/accounts/limiter.h
+++ b/packages/accounts/limiter.h
@@ -54,8 +54,9 @@
 struct qlm *qlm_new (struct qlm_port *port, const char *own);
 void qlm_free (struct qlm *q);
 /* Decides on one operation of ACCOUNT; AGAIN: its last verdict was to wait.
-   It waits for replies while PATIENCE_US is positive, or longer if no grantor has
-   refused yet.  Unless it is admitted or waits, sets *WAIT_US to the time after which another try may succeed.  */
+   It waits for replies while PATIENCE_US is positive, or longer if no grantor
+   has refused yet.  Unless it is admitted or waits, sets *WAIT_US to the time
+   after which another try may succeed.  */
 enum qlm_verdict qlm_take (struct qlm *q, const char *account, bool again,
                            int64_t patience_us, int64_t now_us,
                            int64_t *wait_us);
--- a/packages/core/gossip.h
+++ b/packages/core/gossip.h
@@ -22,13 +22,16 @@
   /* Requests the receiver to close a connection to INSTANCE, which is at its
      limit while the sender has no connection to it.  */
   GSP_YIELD,
+  /* Deltas of versions whose revisions have no era; they are ignored.  */
+  GSP_OLD_DELTA_REQUEST,
+  GSP_OLD_DELTA,
+  /* Requests operations of an account, and the reply; see struct gsp_limit. */
+  GSP_LIMIT_REQUEST,
+  GSP_LIMIT_GRANT,
   /* Requests the directory items newer than REVISION.  */
   GSP_DELTA_REQUEST,
   /* All items newer than BASE_REVISION and up to REVISION.  */
   GSP_DELTA,
-  /* Requests operations of an account, and the reply; see struct gsp_limit. */
-  GSP_LIMIT_REQUEST,
-  GSP_LIMIT_GRANT,
   GSP_KIND_END
 };
 
--- a/packages/core/place.c
+++ b/packages/core/place.c
@@ -18,6 +18,8 @@
 #define HOME_LINKS_MAX 8
 /* The part of its share of the connections that a home may open.  */
 #define HOME_BURST_PERCENT 75
+/* Connections to one home that are opened at the same time.  */
+#define HOME_OPENING_MAX 2
 /* Direct connections considered for one statement.  */
 #define DIRECT_LINKS_MAX 256
 /* Together, the proxies that hold connections to an instance keep this many
@@ -218,6 +220,7 @@
   struct plc_choice c = { PLC_WAIT, i, NULL };
   struct ul *other = NULL;
   uint32_t n = 0;
+  uint32_t opening = 0;
 
   for (guint k = 0; k < i->links->len; k++)
     {
@@ -226,6 +229,7 @@
       if (!link->home)
         continue;
       n++;
+      opening += link->phase == UL_OPENING && strcmp (link->home, via) == 0;
       if (!ul_is_idle (link))
         continue;
       if (strcmp (link->home, via) != 0)
@@ -235,7 +239,7 @@
     }
   if (c.link)
     c.decision = PLC_USE;
-  else if (now_us < i->open_after_us)
+  else if (now_us < i->open_after_us || opening >= HOME_OPENING_MAX)
     return c;
   else if (n < HOME_LINKS_MAX)
     c.decision = PLC_OPEN;
--- a/packages/core/poolerwatch.c
+++ b/packages/core/poolerwatch.c
@@ -199,8 +199,8 @@
   if (i->svc->by_account && link->home)
     return idle_us >= SPARE_IDLE_US;
   if (i->svc->by_account)
-    return idle_us
-           >= (plr_has_surplus (i) ? ACCOUNT_SURPLUS_IDLE_US : ACCOUNT_IDLE_US);
+    return idle_us >= (plr_has_surplus (i) ? ACCOUNT_SURPLUS_IDLE_US
+                                           : ACCOUNT_IDLE_US);
   if (plr_has_surplus (i))
     return idle_us >= SURPLUS_IDLE_US;
   if (i->links->len > 1)
--- a/packages/core/vmtable.c
+++ b/packages/core/vmtable.c
@@ -124,14 +124,23 @@
   return NULL;
 }
 
+/* Returns the weight of VM as the place of KEY, in proportion to its capacity.
+ */
+static double
+capacity_score (const struct vmt_vm *vm, const char *key)
+{
+  double share
+      = ((double)rdv_weight (key, vm->name) + 1) / 18446744073709551617.0;
+
+  return -vm->capacity / log (share);
+}
+
 /* Returns the weighted rendezvous score, raised by the proximity bonus.  */
 static double
 proximity_score (const struct vmt_table *t, const struct vmt_vm *vm,
                  const struct dir_instance *instance)
 {
-  double share = ((double)rdv_weight (instance->id, vm->name) + 1)
-                 / 18446744073709551617.0;
-  double score = -vm->capacity / log (share);
+  double score = capacity_score (vm, instance->id);
   const char *region = g_hash_table_lookup (t->regions, vm->data_centre);
   const char *instance_region
       = g_hash_table_lookup (t->regions, instance->data_centre);
@@ -239,17 +248,23 @@
 {
   const struct vmt_vm *best = NULL;
   const struct vmt_vm *first = NULL;
+  double best_score = 0;
+  double first_score = 0;
 
   for (uint32_t k = 0; k < h->n; k++)
     {
       const struct vmt_vm *vm = h->vms[k];
-      uint64_t weight = rdv_weight (account, vm->name);
+      double score = capacity_score (vm, account);
 
-      if (!first || weight > rdv_weight (account, first->name))
-        first = vm;
-      if (!skip (arg, vm)
-          && (!best || weight > rdv_weight (account, best->name)))
-        best = vm;
+      if (!first || score > first_score)
+        {
+          first = vm;
+          first_score = score;
+        }
+      if (skip (arg, vm) || (best && score <= best_score))
+        continue;
+      best = vm;
+      best_score = score;
     }
   return best ? best : first;
 }
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -169,8 +169,8 @@
 
   reply.granted = limit->granted;
   reply.wait_us = (int64_t)MIN (limit->wait_ms, LIMIT_WAIT_MAX_MS) * US_PER_MS;
-  lim_granted (c->limits, from, limit->account, limit->part, limit->serial, &reply,
-               now_us);
+  lim_granted (c->limits, from, limit->account, limit->part, limit->serial,
+               &reply, now_us);
   plr_decide_held (c->options.pooler, limit->account, now_us);
 }
 
@@ -287,6 +287,8 @@
     case GSP_LIMIT_GRANT:
       on_limit_granted (c, from, &m.limit, now_us);
       break;
+    case GSP_OLD_DELTA_REQUEST:
+    case GSP_OLD_DELTA:
     case GSP_KIND_END:
       break;
     }
--- a/tests/accounts/limitworld.cc
+++ b/tests/accounts/limitworld.cc
@@ -47,8 +47,8 @@
   lim_grant (to->limits, &request, w->now_us, &reply);
   w->At (w->o.message_us, [w, from, to, request, reply, account, incarnation] {
     if (Reaches (to, from) && from->incarnation == incarnation)
-      lim_granted (from->limits, to->name.c_str (), account.c_str (), request.part,
-                   request.serial, &reply, w->now_us);
+      lim_granted (from->limits, to->name.c_str (), account.c_str (),
+                   request.part, request.serial, &reply, w->now_us);
   });
 }
 
--- a/tests/accounts/limitworld.h
+++ b/tests/accounts/limitworld.h
@@ -32,7 +32,7 @@
   uint64_t incarnation = 0;
   bool reaches_store = true;
   uint64_t era = 0; // of the directory, as of its last call
-  int side = 0; // proxies of different sides do not reach each other
+  int side = 0;     // proxies of different sides do not reach each other
   std::set<std::string> view;
   std::deque<std::function<bool ()> > held; // operations that wait
 };
--- a/tests/fakes/kvstore.c
+++ b/tests/fakes/kvstore.c
@@ -28,11 +28,14 @@
   struct mg_context *context;
   GMutex lock;
   GCond changed;
+  uint64_t era;
   uint64_t revision;
   uint64_t compacted_revision; /* events up to here are dropped */
   uint64_t next_lease;
-  GHashTable *items;      /* key -> struct item * */
-  GPtrArray *history;     /* struct item *, oldest first */
+  GHashTable *items;  /* key -> struct item * */
+  GPtrArray *history; /* struct item *, oldest first */
+  GHashTable *copy;   /* items at COPY_REVISION, without leases */
+  uint64_t copy_revision;
   GHashTable *leases;     /* id -> int64_t *, expiry time in us */
   GHashTable *lease_ttls; /* id -> int64_t *, time to live in us */
   enum kvs_fault fault;
@@ -139,14 +142,15 @@
 }
 
 static int
-reply (struct mg_connection *c, int status, json_t *body)
+reply (struct kvs *s, struct mg_connection *c, int status, json_t *body)
 {
   char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
 
   mg_printf (c,
              "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-             "Content-Length: %zu\r\n\r\n%s",
-             status, text ? strlen (text) : 0, text ? text : "");
+             "Store-Era: %lu\r\nContent-Length: %zu\r\n\r\n%s",
+             status, (unsigned long)s->era, text ? strlen (text) : 0,
+             text ? text : "");
   free (text);
   json_decref (body);
   return status;
@@ -271,7 +275,8 @@
   json_t *events = list_events (s, prefix, after);
 
   while (json_array_size (events) == 0 && after >= s->compacted_revision
-         && g_get_monotonic_time () < end_us && !s->stopping)
+         && after <= s->revision && g_get_monotonic_time () < end_us
+         && !s->stopping)
     {
       json_decref (events);
       g_cond_wait_until (&s->changed, &s->lock,
@@ -280,7 +285,7 @@
       events = list_events (s, prefix, after);
     }
   g_free (prefix);
-  if (after < s->compacted_revision)
+  if (after < s->compacted_revision || after > s->revision)
     {
       json_decref (events);
       *reply_body = NULL;
@@ -430,7 +435,7 @@
   if (fault == KVS_BUSY || fault == KVS_SILENT)
     {
       json_decref (body);
-      return reply (c, 503, NULL);
+      return reply (s, c, 503, NULL);
     }
   if (strcmp (mg_get_request_info (c)->local_uri, "/promote") == 0)
     status = on_promote (s, c, body);
@@ -443,7 +448,7 @@
     }
   json_decref (body);
   if (fault != KVS_LOSE_REPLY || !writes)
-    return reply (c, status, reply_body);
+    return reply (s, c, status, reply_body);
   /* The write was carried out, but its reply is never sent.  */
   json_decref (reply_body);
   return 200;
@@ -462,10 +467,12 @@
   memset (&callbacks, 0, sizeof callbacks);
   g_mutex_init (&s->lock);
   g_cond_init (&s->changed);
+  s->era = 1;
   s->revision = 10;
   s->page_size = PAGE_SIZE_DEFAULT;
   s->items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
   s->history = g_ptr_array_new_with_free_func (free_item);
+  s->copy = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
   s->leases = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   s->lease_ttls = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   s->promote = promote;
@@ -491,6 +498,7 @@
     mg_stop (s->context);
   g_hash_table_destroy (s->items);
   g_ptr_array_free (s->history, TRUE);
+  g_hash_table_destroy (s->copy);
   g_hash_table_destroy (s->leases);
   g_hash_table_destroy (s->lease_ttls);
   g_mutex_clear (&s->lock);
@@ -524,6 +532,60 @@
   g_mutex_unlock (&s->lock);
 }
 
+void
+kvs_copy (struct kvs *s)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_mutex_lock (&s->lock);
+  g_hash_table_remove_all (s->copy);
+  g_hash_table_iter_init (&iter, s->items);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct item *)value)->lease == 0)
+      {
+        struct item *i = copy_item (value);
+
+        g_hash_table_replace (s->copy, i->key, i);
+      }
+  s->copy_revision = s->revision;
+  g_mutex_unlock (&s->lock);
+}
+
+void
+kvs_restore_copy (struct kvs *s)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_mutex_lock (&s->lock);
+  s->era++;
+  s->revision = s->compacted_revision = s->copy_revision;
+  g_ptr_array_set_size (s->history, 0);
+  g_hash_table_remove_all (s->leases);
+  g_hash_table_remove_all (s->items);
+  g_hash_table_iter_init (&iter, s->copy);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct item *i = copy_item (value);
+
+      g_hash_table_replace (s->items, i->key, i);
+    }
+  g_cond_broadcast (&s->changed);
+  g_mutex_unlock (&s->lock);
+}
+
+bool
+kvs_has (struct kvs *s, const char *key)
+{
+  bool found;
+
+  g_mutex_lock (&s->lock);
+  found = g_hash_table_contains (s->items, key);
+  g_mutex_unlock (&s->lock);
+  return found;
+}
+
 void
 kvs_put (struct kvs *s, const char *key, const char *value)
 {
--- a/tests/fakes/kvstore.h
+++ b/tests/fakes/kvstore.h
@@ -35,6 +35,13 @@
 /* Drops the history of changes; a watch that starts before it gets status
    410.  */
 void kvs_compact (struct kvs *s);
+/* Copies what the store holds.  */
+void kvs_copy (struct kvs *s);
+/* Returns to the copy, under the next era: what was written since is gone, all
+   leases too, and revisions are given out again.  */
+void kvs_restore_copy (struct kvs *s);
+/* Returns true if KEY is present.  */
+bool kvs_has (struct kvs *s, const char *key);
 /* Sets KEY to VALUE, or removes it if VALUE is NULL, as the operator or an
    instance would.  */
 void kvs_put (struct kvs *s, const char *key, const char *value);
--- a/tests/unit/registry_test.cc
+++ b/tests/unit/registry_test.cc
@@ -4,9 +4,11 @@
 extern "C"
 {
 #include "kvstore.h"
+#include "storepos.h"
 #include "registryint.h"
 }
 #include <gtest/gtest.h>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -39,7 +41,10 @@
   struct ctr_set *counters;
   GHashTable *regions;
   std::set<std::string> instances;
+  std::map<std::string, uint64_t> claims; // service -> position
+  std::map<std::string, uint64_t> won;    // service -> token, 0 = not won
   bool loaded = false;
+  int resets = 0;
 
   explicit World (uint32_t page_size);
   ~World ();
@@ -73,9 +78,14 @@
   s.vm = [] (void *, const struct cluster_vm *) {};
   s.vm_gone = [] (void *, const char *) {};
   s.renewed = [] (void *, int64_t) {};
+  s.store_reset = [] (void *arg) { ((World *)arg)->resets++; };
   s.entry_lost = [] (void *) {};
-  s.claim = [] (void *, const struct sfo_claim *) {};
-  s.claim_result = [] (void *, const char *, uint64_t, bool) {};
+  s.claim = [] (void *arg, const struct sfo_claim *c) {
+    ((World *)arg)->claims[c->service] = c->revision;
+  };
+  s.claim_result = [] (void *arg, const char *service, uint64_t token, bool) {
+    ((World *)arg)->won[service] = token;
+  };
   s.arg = w;
   return s;
 }
@@ -268,4 +278,66 @@
   EXPECT_EQ (w.instances.count ("i-1"), 1u);
   json_decref (item);
 }
+// Guards against revisions that are compared across a return of the store from
+// a copy: they go back and are given out again, so that new entries looked
+// older than what the proxy knew, and a fencing token fell.
+TEST (Registry, AStoreThatComesBackFromACopyIsListedAnew)
+{
+  World w (500);
+
+  kvs_put (w.store, "servers/i-1", Instance ().c_str ());
+  ASSERT_TRUE (w.RunUntil ([&w] { return w.loaded; }));
+  kvs_copy (w.store);
+  // What comes after the copy is lost: an instance, a claim, the own entry.
+  kvs_put (w.store, "servers/i-2", Instance ().c_str ());
+  registry_claim (w.registry, "s", 0, "");
+  ASSERT_TRUE (w.RunUntil (
+      [&w] { return w.instances.count ("i-2") > 0 && w.won["s"] > 0; }));
+  uint64_t first_token = w.won["s"];
+  for (int era = 2; era <= 3; era++)
+    {
+      kvs_restore_copy (w.store);
+      kvs_put (w.store, "servers/i-3", Instance ().c_str ());
+      ASSERT_TRUE (w.RunUntil ([&w] {
+        return w.instances.count ("i-3") > 0 && w.instances.count ("i-2") == 0;
+      })) << era;
+      EXPECT_EQ (w.resets, era - 1);
+      EXPECT_EQ (w.instances.count ("i-1"), 1u);
+      // The own entry is written again, once.
+      ASSERT_TRUE (w.RunUntil ([&w] {
+        return kvs_has (w.store, "cassiabay/vm/vm-1");
+      })) << era;
+      // A later claim has a higher token, though its revision is lower.
+      w.won["s"] = 0;
+      registry_claim (w.registry, "s", first_token, "");
+      ASSERT_TRUE (w.RunUntil ([&w] { return w.won["s"] > 0; })) << era;
+      EXPECT_GT (w.won["s"], first_token);
+      first_token = w.won["s"];
+      kvs_put (w.store, "servers/i-3", nullptr);
+      ASSERT_TRUE (
+          w.RunUntil ([&w] { return w.instances.count ("i-3") == 0; }));
+    }
+}
+
+TEST (Registry, PositionsOrderErasBeforeRevisions)
+{
+  struct
+  {
+    uint64_t era, revision;
+  } const ascending[]
+      = { { 0, 1 }, { 0, 900 }, { 1, 1 }, { 1, 2 }, { 1, STP_REVISION_MAX },
+          { 2, 1 }, { 300, 7 } };
+  uint64_t last = 0;
+
+  for (const auto &p : ascending)
+    {
+      uint64_t position = stp_pack (p.era, p.revision);
+      EXPECT_GT (position, last);
+      EXPECT_EQ (stp_era (position), p.era);
+      EXPECT_EQ (stp_revision (position), p.revision);
+      EXPECT_LT (position, UINT64_C (1) << 53);
+      last = position;
+    }
+  EXPECT_EQ (stp_pack (5, 0), 0u);
+}
 } // namespace
