--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -369,26 +369,10 @@
   return c->feed;
 }
 
-/* NAME takes no more work.  */
-static void
-forget_vm (struct cluster *c, const char *name, int64_t now_us)
-{
-  if (!g_hash_table_remove (c->vms, name))
-    return;
-  EV (c->options.log, now_us, EV_PEER, EV_TEXT ("peer", name),
-      EV_TEXT ("what", "gone"));
-  plr_remove_vm (c->options.pooler, name);
-}
-
 void
 cluster_set_vm (struct cluster *c, const struct cluster_vm *vm, int64_t now_us)
 {
   qgs_note_listed (lim_fleet (c->limits), vm->name, now_us);
-  if (vm->stopping)
-    {
-      forget_vm (c, vm->name, now_us);
-      return;
-    }
   if (!g_hash_table_contains (c->vms, vm->name))
     EV (c->options.log, now_us, EV_PEER, EV_TEXT ("peer", vm->name),
         EV_TEXT ("what", "listed"));
@@ -400,8 +384,12 @@
 void
 cluster_remove_vm (struct cluster *c, const char *name, int64_t now_us)
 {
+  if (!g_hash_table_remove (c->vms, name))
+    return;
+  EV (c->options.log, now_us, EV_PEER, EV_TEXT ("peer", name),
+      EV_TEXT ("what", "gone"));
   qgs_note_gone (lim_fleet (c->limits), name, now_us);
-  forget_vm (c, name, now_us);
+  plr_remove_vm (c->options.pooler, name);
 }
 
 void
--- a/packages/proxy/cluster.h
+++ b/packages/proxy/cluster.h
@@ -63,7 +63,6 @@
   const char *relay_address; /* host:port for statements of other proxies */
   const char *data_centre;
   double capacity; /* in cores */
-  bool stopping;   /* it takes no more work; its entry ends soon */
 };
 
 /* Adds or updates a proxy, this one included.  VM is copied.  */
--- a/tests/unit/registry_test.cc
+++ b/tests/unit/registry_test.cc
@@ -4,8 +4,8 @@
 extern "C"
 {
 #include "kvstore.h"
-#include "storepos.h"
 #include "registryint.h"
+#include "storepos.h"
 }
 #include <gtest/gtest.h>
 #include <map>
