--- a/packages/accounts/limiter.c
+++ b/packages/accounts/limiter.c
@@ -4,9 +4,10 @@
 #include <math.h>
 #include <string.h>
 
-/* How long such a grantor is not waited for; doubled each time.  */
-#define UNREACHABLE_MIN_US 300000
-#define UNREACHABLE_MAX_US 1200000
+/* How long a grantor that did not reply is not asked again; doubled each
+   time.  */
+#define UNREACHABLE_MIN_US 200000
+#define UNREACHABLE_MAX_US 800000
 /* Grants are requested ahead for this time of the usual demand.  */
 #define AHEAD_S 0.1
 #define AHEAD_MAX 32
@@ -20,11 +21,12 @@
 
 struct part
 {
-  uint64_t pending_serial; /* 0 = no request awaits its reply */
-  int64_t pending_us;      /* when it was sent */
-  uint32_t pending_needed; /* operations that it asked for at least */
-  int64_t closed_until_us; /* no operation is held for this part before */
-  int64_t unreachable_us;  /* the present time of being unreachable, 0 = it
+  uint64_t last_serial;    /* of the last request, 0 = none */
+  bool pending;            /* operations are held for its reply */
+  int64_t sent_us;         /* when it was sent */
+  uint32_t needed;         /* operations that it asked for at least */
+  int64_t closed_until_us; /* it is not asked before */
+  int64_t unreachable_us;  /* the last wait for one that did not reply, 0 = it
                               replies */
 };
 
@@ -116,9 +118,10 @@
   struct qlm_request r = { a->name, part, ++q->last_serial, needed, 0 };
 
   r.wanted = MAX (needed + count_ahead (a), 1);
-  a->parts[part].pending_serial = r.serial;
-  a->parts[part].pending_us = now_us;
-  a->parts[part].pending_needed = needed;
+  a->parts[part].last_serial = r.serial;
+  a->parts[part].pending = true;
+  a->parts[part].sent_us = now_us;
+  a->parts[part].needed = needed;
   q->port->ops->request (q->port, &r);
 }
 
@@ -128,8 +131,8 @@
   return now_us >= p->closed_until_us;
 }
 
-/* Asks the preferred grantor, or the other one when that is closed.  One that
-   did not reply is asked beside the other, but not waited for.  */
+/* Asks the first grantor that is open, beginning with the preferred one. Those
+   that did not reply are asked beside it.  */
 static void
 request_grant (struct qlm *q, struct account *a, uint32_t needed,
                int64_t now_us)
@@ -145,7 +148,7 @@
         continue;
       if (p->unreachable_us == 0)
         asked = true;
-      if (p->pending_serial == 0)
+      if (!p->pending)
         send_request (q, a, n, needed, now_us);
     }
 }
@@ -154,7 +157,7 @@
 has_pending (const struct account *a)
 {
   for (uint32_t n = 0; n < QGR_PARTS; n++)
-    if (a->parts[n].pending_serial != 0)
+    if (a->parts[n].pending)
       return true;
   return false;
 }
@@ -280,23 +283,24 @@
   struct account *a = g_hash_table_lookup (q->accounts, account);
   struct part *p;
 
-  if (!a || part >= QGR_PARTS || a->parts[part].pending_serial != serial)
+  if (!a || part >= QGR_PARTS || a->parts[part].last_serial != serial)
     return;
   p = &a->parts[part];
-  p->pending_serial = 0;
+  p->last_serial = 0;
+  p->pending = false;
   p->unreachable_us = 0;
   p->closed_until_us = 0;
-  if (reply->granted < p->pending_needed)
+  if (reply->granted < p->needed)
     p->closed_until_us = now_us + reply->wait_us;
   if (reply->granted > 0)
     a->preferred = part;
-  add_tokens (a, reply->granted, p->pending_us, now_us);
+  add_tokens (a, reply->granted, p->sent_us, now_us);
 }
 
 static void
 close_unreachable (struct part *p, int64_t now_us)
 {
-  p->pending_serial = 0;
+  p->pending = false;
   p->unreachable_us
       = CLAMP (2 * p->unreachable_us, UNREACHABLE_MIN_US, UNREACHABLE_MAX_US);
   p->closed_until_us = now_us + p->unreachable_us;
@@ -306,7 +310,7 @@
 static void
 give_up_request (struct part *p, int64_t now_us)
 {
-  if (p->pending_serial != 0 && now_us - p->pending_us >= QLM_REPLY_TIMEOUT_US)
+  if (p->pending && now_us - p->sent_us >= QLM_REPLY_TIMEOUT_US)
     close_unreachable (p, now_us);
 }
 
@@ -316,7 +320,7 @@
 {
   struct account *a = g_hash_table_lookup (q->accounts, account);
 
-  if (a && a->parts[part].pending_serial == serial)
+  if (a && a->parts[part].pending && a->parts[part].last_serial == serial)
     close_unreachable (&a->parts[part], now_us);
 }
 
