--- a/tests/fuzz/run.sh
+++ b/tests/fuzz/run.sh
@@ -10,8 +10,8 @@
 # shellcheck disable=SC2046
 clang -g -O1 -std=gnu11 -D_GNU_SOURCE -fsanitize=fuzzer,address,undefined \
   -fno-sanitize-recover=undefined \
-  -Ipackages/core -Ipackages/adapters -Ipackages/proxy -Iplatform \
-  tests/fuzz/fuzz.c packages/core/{decl,dir,finding,gossip,manifest,packcheck,reason,requestid,statement,token,wire,yamldoc}.c \
+  -Ipackages/accounts -Ipackages/core -Ipackages/adapters -Ipackages/proxy -Iplatform \
+  tests/fuzz/fuzz.c packages/accounts/account.c packages/core/{decl,dir,finding,gossip,manifest,packcheck,reason,requestid,statement,token,wire,yamldoc}.c \
   packages/adapters/{access,callerjson}.c packages/proxy/settings.c platform/{linecodec,platsettings,records}.c \
   $(pkg-config --cflags --libs $LIBS) -o "$OUT/fuzz"
 for target in decl settings access json token wire manifest lines relay \
