--- a/packages/core/pooleraccount.c
+++ b/packages/core/pooleraccount.c
@@ -189,6 +189,21 @@
     }
 }
 
+void
+plr_count_limits (struct plr *p)
+{
+  const struct lim_counts *now = lim_get_counts (p->limits);
+  const struct lim_counts *before = &p->limits_counted;
+
+  ctr_add (p->options.counters, CTR_LIMIT_REQUESTS,
+           now->requests - before->requests);
+  ctr_add (p->options.counters, CTR_LIMIT_GRANTS,
+           now->grants - before->grants);
+  ctr_add (p->options.counters, CTR_LIMIT_DENIED,
+           now->denied - before->denied);
+  p->limits_counted = *now;
+}
+
 struct lim *
 plr_limits (struct plr *p)
 {
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -25,6 +25,7 @@
   bool directory_reachable;
   enum plr_drain drain;
   struct lim *limits;
+  struct lim_counts limits_counted; /* that the counters hold already */
   struct usg_set *usage;
   GQueue held;                         /* struct ses *, in stage SES_HELD */
   plr_request_yield_fn *request_yield; /* NULL: no proxy to request from */
@@ -94,6 +95,8 @@
 /* Returns true if the limit of its account admits the statement of S.  Else
    the statement is held until this is decided, or was refused.  */
 bool plr_admit (struct plr *p, struct ses *s, int64_t now_us);
+/* Brings the counters of requests and grants up to date.  */
+void plr_count_limits (struct plr *p);
 /* Takes S out of the queue of held statements, if it is there.  */
 void plr_leave_held (struct plr *p, struct ses *s);
 
--- a/packages/core/poolerwatch.c
+++ b/packages/core/poolerwatch.c
@@ -521,6 +521,7 @@
     }
   if (lim_tick (p->limits, now_us))
     plr_decide_held (p, NULL, now_us);
+  plr_count_limits (p);
   end_idle_transactions (p, now_us);
   g_hash_table_iter_init (&iter, p->services);
   while (vmt_check_complete (&p->vms, now_us)
--- a/tests/accounts/poolaccounts_test.cc
+++ b/tests/accounts/poolaccounts_test.cc
@@ -247,6 +247,10 @@
   EXPECT_LE (oks, 86);
   EXPECT_EQ (w.Refusals (RFS_OVER_LIMIT), (uint64_t)(60 - oks));
   EXPECT_EQ (usg_get (plr_usage (w.pooler), "a", USG_ADMITTED), (uint64_t)oks);
+  w.Run (PLR_TICK_US);
+  EXPECT_GE (w.Counter (CTR_LIMIT_REQUESTS), 1u);
+  EXPECT_GE (w.Counter (CTR_LIMIT_GRANTS), (uint64_t)oks);
+  EXPECT_GE (w.Counter (CTR_LIMIT_DENIED), 1u);
   // A transaction is one operation; one that isn't admitted fails as a whole.
   w.Run (5500000);
   EXPECT_EQ (w.Execute (caller, STM_BEGIN), "ok");
