review: case 6, the former primary promoted over the new one

Cause: a proxy that missed a promotion replaces the primary that it saw last by its own view alone, and takes an instance whose log is of an older term (sessionfailover.c, failoverdecision.c, candidate.c).

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/packages/proxy/cassiabayd
-world=target/review-2/late_promotion
+world=target/review-2/two_promoters
 [ -x "$program" ] && [ -x "$world" ] || exit 2
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
