review: case 9, proxies that start while a replica's entry is away

Cause: a proxy counts the replicas that it has seen listed since it started (is_complete in candidate.c); how many a service has is kept nowhere. It is a known limit of docs/PLATFORM.md.

--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -85,6 +85,10 @@
   uint16_t callers_port;
   struct dbm *db;
   struct lsv *servers[WLD_INSTANCES];
+  /* Index of an instance whose entry is neither written nor kept, -1 = none.
+   */
+  int32_t unlisted;
+  bool far_is_deaf; /* instance 1 receives nothing */
   struct dbm *other_db;
   struct lsv *other_servers[WLD_INSTANCES];
   uint16_t other_ports[WLD_INSTANCES];
@@ -112,6 +116,8 @@
 bool wld_is_ready (struct wld *w);
 /* Runs until all proxies are ready.  Exits with status 2 if they aren't.  */
 void wld_await_ready (struct wld *w);
+/* Kills all proxies and starts them again after a short delay.  */
+void wld_restart_proxies (struct wld *w);
 /* Resident memory of a process in KB, 0 if it has ended.  */
 uint64_t wld_memory_kb (pid_t pid);
 /* Ends all proxies that were started.  */
