review: case 7 finds the holder of the claim, and has up to three releases

Cause: the case took the proxy of the first rank as the holder, which it isn't when another one claims at the start; beside a loaded machine one release was not always enough.

--- a/review/standins-2/deployment.c
+++ b/review/standins-2/deployment.c
@@ -593,6 +593,59 @@
   return w;
 }
 
+/* Returns the value of the claim's key, decoded, or NULL.  */
+static char *
+read_claim (struct wld *w)
+{
+  static const char request[]
+      = "GET /kv-key?key=cassiabay/claim/" WLD_SERVICE
+        " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  struct sockaddr_in to = { .sin_family = AF_INET };
+  struct timeval limit = { .tv_sec = 1 };
+  char reply[2048] = "";
+  const char *at;
+  char *encoded;
+  char *text;
+  gsize len;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  to.sin_port = htons (w->store_port);
+  inet_pton (AF_INET, "127.0.0.1", &to.sin_addr);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) == 0
+      && send (fd, request, sizeof request - 1, MSG_NOSIGNAL) > 0)
+    recv (fd, reply, sizeof reply - 1, MSG_WAITALL);
+  close (fd);
+  at = strstr (reply, "\"value\":\"");
+  if (!at)
+    return NULL;
+  at += strlen ("\"value\":\"");
+  encoded = g_strndup (at, strcspn (at, "\""));
+  text = (char *)g_base64_decode (encoded, &len);
+  text = g_realloc (text, len + 1);
+  text[len] = '\0';
+  g_free (encoded);
+  return text;
+}
+
+struct wld_proxy *
+wld_find_holder (struct wld *w)
+{
+  char *text = read_claim (w);
+  struct wld_proxy *found = NULL;
+
+  for (uint32_t n = 0; text && n < w->o.n_proxies; n++)
+    {
+      char *field = g_strdup_printf ("\"vm\":\"%s\"", w->proxies[n].name);
+
+      if (strstr (text, field))
+        found = &w->proxies[n];
+      g_free (field);
+    }
+  g_free (text);
+  return found;
+}
+
 void
 wld_restart_proxies (struct wld *w)
 {
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -116,6 +116,9 @@
 bool wld_is_ready (struct wld *w);
 /* Runs until all proxies are ready.  Exits with status 2 if they aren't.  */
 void wld_await_ready (struct wld *w);
+/* Returns the proxy that holds the claim on the service: the one that wrote to
+   the store under a condition last.  NULL if there is none.  */
+struct wld_proxy *wld_find_holder (struct wld *w);
 /* Kills all proxies and starts them again after a short delay.  */
 void wld_restart_proxies (struct wld *w);
 /* Resident memory of a process in KB, 0 if it has ended.  */
--- a/review/standins-2/two_promoters.c
+++ b/review/standins-2/two_promoters.c
@@ -6,7 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* The primary is replaced so often; the times count from the start of each
+   round.  */
+#define ROUNDS 3
+#define ROUND_US 16000000
 #define RELEASE_AT_US 5000000
+#define RELEASED_AT_US 13000000
 /* The store turns the holder of the claim away from shortly before the release
    on.  */
 #define TURNED_AWAY_AT_US 4000000
@@ -16,7 +21,6 @@
 #define PATH_CUT_FOR_US 5000000
 /* The named instance leads so long after the call.  */
 #define PROMOTE_US 300000
-#define RUN_US 15000000
 
 struct promotion
 {
@@ -26,6 +30,9 @@
 };
 
 static struct wld *world;
+static struct wld_proxy *holder; /* of the claim, at the start of a round */
+static struct dbm_instance *leaving;     /* the primary that is replaced */
+static struct dbm_instance *other;       /* the replica that isn't to lead */
 static GQueue promotions = G_QUEUE_INIT; /* struct promotion *, in order */
 static uint64_t fence;
 
@@ -90,28 +97,30 @@
   g_mutex_unlock (&world->lock);
 }
 
-/* Returns the proxy with the Nth highest hash for the service: the first
-   takes the claim, the second acts next.  */
+/* Returns the proxy with the highest hash for the service, the holder left
+   out: it acts after the holder.  */
 static struct wld_proxy *
-find_by_rank (uint32_t wanted)
+find_next (const struct wld_proxy *left_out)
 {
+  struct wld_proxy *best = NULL;
+
   for (uint32_t n = 0; n < world->o.n_proxies; n++)
     {
-      uint64_t own = rdv_weight (WLD_SERVICE, world->proxies[n].name);
-      uint32_t rank = 0;
+      struct wld_proxy *p = &world->proxies[n];
 
-      for (uint32_t k = 0; k < world->o.n_proxies; k++)
-        rank += rdv_weight (WLD_SERVICE, world->proxies[k].name) > own;
-      if (rank == wanted)
-        return &world->proxies[n];
+      if (p != left_out
+          && (!best
+              || rdv_weight (WLD_SERVICE, p->name)
+                     > rdv_weight (WLD_SERVICE, best->name)))
+        best = p;
     }
-  return NULL;
+  return best;
 }
 
 static void
 set_turned_away (bool on)
 {
-  struct wld_proxy *p = find_by_rank (0);
+  struct wld_proxy *p = holder;
 
   if (p->store_resets == on)
     return;
@@ -124,14 +133,37 @@
 set_path_cut (bool on)
 {
   static bool is_on;
-  struct wld_proxy *p = find_by_rank (1);
+  struct wld_proxy *p = find_next (holder);
 
   if (is_on == on)
     return;
   is_on = on;
-  cpt_cut (world->paths[2], on ? p->pid : 0);
-  wld_record (world, "the path between %s and %s is %s", p->name,
-              world->db->instances[2].id, on ? "cut" : "back");
+  cpt_cut (world->paths[other->index], on ? p->pid : 0);
+  wld_record (world, "the path between %s and %s is %s", p->name, other->id,
+              on ? "cut" : "back");
+}
+
+/* The proxies promote the first of two replicas that have received as much. */
+static void
+choose_roles (void)
+{
+  holder = wld_find_holder (world);
+  leaving = dbm_primary (world->db);
+  other = &world->db->instances[leaving->index == 2 ? 1 : 2];
+}
+
+/* The instance that was replaced ends, and a new one with its log is at its
+   address.  */
+static void
+set_draining (bool on)
+{
+  if (leaving->draining == on)
+    return;
+  leaving->draining = on;
+  wld_record (world, "%s %s", leaving->id,
+              on ? "reports draining" : "has started again");
+  if (!on)
+    lsv_crash (world->servers[leaving->index]);
 }
 
 static bool
@@ -145,6 +177,7 @@
 {
   struct wld_options o = { 0 };
   bool trouble = getenv ("TROUBLE") && strcmp (getenv ("TROUBLE"), "0") != 0;
+  bool chosen = false;
   int64_t begin_us;
 
   if (argc != 4)
@@ -165,17 +198,25 @@
   wld_await_ready (world);
   wld_start_callers (world);
   begin_us = wld_now_us (world);
-  while (wld_now_us (world) - begin_us < RUN_US)
+  while (wld_now_us (world) - begin_us < ROUNDS * ROUND_US
+         && world->db->violations == 0)
     {
-      int64_t t_us = wld_now_us (world) - begin_us;
+      int64_t t_us = (wld_now_us (world) - begin_us) % ROUND_US;
 
-      /* The release is planned work and happens with TROUBLE=0 too.  */
-      if (t_us >= RELEASE_AT_US && !world->db->instances[0].draining)
+      if (t_us < TURNED_AWAY_AT_US)
+        chosen = false;
+      else if (!chosen)
         {
-          wld_record (world, "the primary %s reports draining",
-                      world->db->instances[0].id);
-          world->db->instances[0].draining = true;
+          choose_roles ();
+          chosen = true;
         }
+      if (!chosen || !holder)
+        {
+          wld_step (world);
+          continue;
+        }
+      /* The release is planned work and happens with TROUBLE=0 too.  */
+      set_draining (t_us >= RELEASE_AT_US && t_us < RELEASED_AT_US);
       set_turned_away (
           trouble && is_within (t_us, TURNED_AWAY_AT_US, TURNED_AWAY_FOR_US));
       set_path_cut (trouble
