A late promotion loses no acknowledged commit

Cause: a call to promote without an answer was given up after four tries, and 4 s after any claim all voters resumed the replicas. The platform carried the call out later, with a token that was still the newest, and its target lacked what had been acknowledged since. The same happened when the proxy that ordered it had ended, and any proxy resumed replicas whatever claim there was meanwhile.

Change: a claim names its target and stays open until its holder knows that no call of before can be carried out and has resumed the replicas; it then claims anew without a target. A call without an answer is repeated with a newer token for the same target. An open claim whose holder is silent is taken over. The claims of the pooler's test world are taken by compare-and-swap now.

--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -111,19 +111,29 @@
   return best;
 }
 
+bool
+cnd_may_lead (const struct svc_instance *i, int64_t since_us, int64_t now_us)
+{
+  return i->report.at_us >= since_us && cnd_is_reachable (i, now_us)
+         && now_us >= i->ineligible_until_us;
+}
+
 /* Returns true if I is a better choice than BEST: it has received more, or as
-   much and does not leave.  */
+   much and is PREFERRED, or does not leave.  */
 static bool
-is_better (const struct svc_instance *i, const struct svc_instance *best)
+is_better (const struct svc_instance *i, const struct svc_instance *best,
+           const struct svc_instance *preferred)
 {
   int more = lp_compare (i->report.received, best->report.received);
 
-  return more > 0
-         || (more == 0 && best->entry->draining && !i->entry->draining);
+  if (more != 0 || best == preferred)
+    return more > 0;
+  return i == preferred || (best->entry->draining && !i->entry->draining);
 }
 
 struct svc_instance *
 cnd_choose_reported (const struct svc *s, const struct svc_instance *primary,
+                     const struct svc_instance *preferred,
                      struct logpos needed, int64_t since_us, int64_t now_us)
 {
   struct svc_instance *best = NULL;
@@ -137,8 +147,8 @@
       needed = lp_max (needed, i->report.received);
       /* A draining one is promoted if no other has all that it has; another
          one then takes over as planned.  */
-      if (cnd_is_reachable (i, now_us) && now_us >= i->ineligible_until_us
-          && (!best || is_better (i, best)))
+      if (cnd_may_lead (i, since_us, now_us)
+          && (!best || is_better (i, best, preferred)))
         best = i;
     }
   return best && lp_compare (best->report.received, needed) >= 0 ? best : NULL;
@@ -146,15 +156,17 @@
 
 struct svc_instance *
 cnd_choose (const struct svc *s, const struct svc_instance *primary,
-            int64_t since_us, bool paused, int64_t now_us)
+            const struct svc_instance *preferred, int64_t since_us,
+            bool paused, int64_t now_us)
 {
   if (s->sync_replicas == 0)
     return choose_candidate (s, primary, now_us);
   if (is_complete (s, primary, since_us, paused))
-    return cnd_choose_reported (s, primary, LP_NONE, since_us, now_us);
-  if (cnd_has_stepped_down (primary, since_us))
-    return cnd_choose_reported (s, primary, primary->report.received, since_us,
+    return cnd_choose_reported (s, primary, preferred, LP_NONE, since_us,
                                 now_us);
+  if (cnd_has_stepped_down (primary, since_us))
+    return cnd_choose_reported (s, primary, preferred,
+                                primary->report.received, since_us, now_us);
   return NULL;
 }
 
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -24,20 +24,28 @@
    acknowledged.  */
 bool cnd_has_stepped_down (const struct svc_instance *primary,
                            int64_t since_us);
+/* Returns true if I can be promoted and replied to a request sent at or after
+   SINCE_US; whether its log suffices is not checked.  */
+bool cnd_may_lead (const struct svc_instance *i, int64_t since_us,
+                   int64_t now_us);
 /* Returns the replica that has received the most, of those that replied to a
-   request sent at or after SINCE_US and received NEEDED.  NULL when there is
-   none, or when an instance that cannot be promoted has received more.  */
+   request sent at or after SINCE_US and received NEEDED; of several it is
+   PREFERRED (may be NULL).  NULL when there is none, or when an instance that
+   cannot be promoted has received more.  */
 struct svc_instance *cnd_choose_reported (const struct svc *s,
                                           const struct svc_instance *primary,
+                                          const struct svc_instance *preferred,
                                           struct logpos needed,
                                           int64_t since_us, int64_t now_us);
 /* Returns the replica to promote in place of PRIMARY (NULL = unknown), NULL
    when there is none.  With sync replicas it is one that holds every
    acknowledged commit, as far as the replies to requests sent at or after
-   SINCE_US show; PAUSED: only those of replicas that were paused since then
-   count, unless they do not know how to.  */
+   SINCE_US show, PREFERRED (may be NULL) if several do; PAUSED: only the
+   replies of replicas that were paused since then count, unless they do not
+   know how to.  */
 struct svc_instance *cnd_choose (const struct svc *s,
                                  const struct svc_instance *primary,
+                                 const struct svc_instance *preferred,
                                  int64_t since_us, bool paused,
                                  int64_t now_us);
 /* Returns the newest term that an instance of S has reported.  */
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -226,6 +226,9 @@
                             const struct plr_command *command, int64_t now_us);
 /* Starts or continues the search for the primary of S.  */
 void plr_seek_primary (struct plr *p, struct svc *s, int64_t now_us);
+/* Makes sure that a leadership check of S, or the search for its primary, is
+   under way.  */
+void plr_seek_confirmation (struct plr *p, struct svc *s, int64_t now_us);
 /* Probes all instances of S, so that their replies are recent when a replica
    is chosen for promotion.  */
 void plr_seek_candidates (struct plr *p, struct svc *s, int64_t now_us);
--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -170,9 +170,6 @@
 
 /* poolerwatch.c */
 
-/* Makes sure that a leadership check of S, or the search for its primary, is
-   under way.  */
-void plr_seek_confirmation (struct plr *p, struct svc *s, int64_t now_us);
 /* Closes the connections to I; ALL: also those held by a session.  */
 void plr_close_links (struct plr *p, struct svc_instance *i, bool all,
                       int64_t now_us);
--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -3,10 +3,6 @@
 
 #include <string.h>
 
-/* Time from a claim to promote until paused replicas are resumed, more than a
-   promotion takes, and how long the resume commands are repeated.  */
-#define RESUME_AFTER_US 4000000
-#define RESUME_FOR_US 4000000
 /* Longest wait for the replicas to pause before the failover starts anew.  */
 #define PAUSE_MAX_US 1000000
 /* How long a replica may take to catch up with a primary that stepped down:
@@ -16,8 +12,9 @@
    waits for the store's reply to a new one.  */
 #define CLAIM_WAIT_US 400000
 /* How long a token may be used from when its claim was requested, if the
-   platform does not check tokens: others respect the claim for longer, and the
-   call is on its way for a part of the difference.  */
+   platform does not check tokens or commits wait for replicas: others respect
+   the claim for longer, and the call is on its way for a part of the
+   difference.  */
 #define TOKEN_VALID_US (OTHER_CLAIM_GRACE_US - 600000)
 /* In that case a claim without a result is given up after this time; the
    store's adapter reports one sooner.  */
@@ -28,14 +25,22 @@
 #define PROMOTE_ATTEMPTS_MAX 4
 #define PROMOTE_RETRY_US 150000
 
+bool
+sfo_has_recent_claim (const struct sfo_service *sv, int64_t now_us)
+{
+  return sfo_holds_claim (sv) && sv->claim_revision == sv->token
+         && now_us - sv->claim_requested_us < TOKEN_VALID_US;
+}
+
 /* True when no other proxy can promote with a newer token before the call with
-   this one arrives, or if the platform refuses the older one then.  */
+   this one arrives, or if the platform refuses the older one then and only the
+   order of the calls matters.  Where commits wait for replicas, another proxy
+   may also have resumed them.  */
 static bool
 is_token_valid (const struct sfo_service *sv, int64_t now_us)
 {
-  return sv->sfo->o.tokens_are_checked
-         || (sv->claim_revision == sv->token
-             && now_us - sv->claim_requested_us < TOKEN_VALID_US);
+  return (sv->sfo->o.tokens_are_checked && sv->svc->sync_replicas == 0)
+         || sfo_has_recent_claim (sv, now_us);
 }
 
 void
@@ -74,31 +79,70 @@
 static void
 start_pausing (struct sfo_service *sv, int64_t now_us)
 {
-  sfo_expect_pause (sv, now_us);
   sfo_set_state (sv, SFO_PAUSING, now_us);
   sfo_command_replicas (sv, STM_PAUSE, now_us);
 }
 
+/* Orders the promotion of TARGET if the claim names it, else claims for it
+   first: the proxy that takes over an open claim must know which promotion may
+   still be carried out.  */
+static void
+promote_or_claim (struct sfo_service *sv, const struct svc_instance *target,
+                  int64_t now_us)
+{
+  if (strcmp (target->entry->id, sv->target_id) == 0)
+    sfo_order_promotion (sv, now_us);
+  else
+    sfo_request_claim (sv, target, now_us);
+}
+
+/* The target is the confirmed primary, and the order only ends the validity of
+   older tokens.  It must have led after the claim was won.  */
+static void
+tick_reconfirming (struct sfo_service *sv, int64_t now_us)
+{
+  if (!sv->unsettled_id)
+    sfo_resume_monitoring (sv, 0, now_us);
+  else if (svc_confirmed_us (sv->svc) >= sv->claim_won_us)
+    sfo_order_promotion (sv, now_us);
+  else if (now_us - sv->state_since_us > PAUSE_MAX_US)
+    sfo_hold_promotion (sv, now_us);
+  else
+    plr_seek_confirmation (sv->sfo->o.pooler, sv->svc, now_us);
+}
+
+static bool
+is_target (const struct sfo_service *sv, const struct svc_instance *i)
+{
+  return i && strcmp (i->entry->id, sv->target_id) == 0;
+}
+
 void
 sfo_tick_pausing (struct sfo_service *sv, const struct svc_instance *primary,
-                  int64_t now_us)
+                  const struct sfo_evidence *e, int64_t now_us)
 {
-  struct svc_instance *target = sfo_choose_target (sv, primary, true, now_us);
+  struct svc_instance *target;
 
-  if (target)
+  if (is_target (sv, sv->svc->primary))
+    {
+      tick_reconfirming (sv, now_us);
+      return;
+    }
+  if (!sv->unsettled_id && e->confirmed && sfo_evaluate (e) == SFO_KEEP)
     {
-      set_target (sv, target);
-      sfo_order_promotion (sv, now_us);
+      /* The primary is back, and no promotion can be carried out any more.  */
+      sfo_resume_monitoring (sv, 0, now_us);
+      return;
     }
+  target = sfo_choose_target (sv, primary, true, now_us);
+  if (target)
+    promote_or_claim (sv, target, now_us);
   else if (now_us - sv->state_since_us <= PAUSE_MAX_US)
     sfo_command_replicas (sv, STM_PAUSE, now_us);
   else if (cnd_has_stepped_down (primary, sv->claim_won_us)
            && cnd_is_reachable (primary, now_us))
-    {
-      /* No replica can take over: it leads again.  */
-      set_target (sv, primary);
-      sfo_order_promotion (sv, now_us);
-    }
+    /* No replica can take over: it leads again.  */
+    promote_or_claim (sv, primary, now_us);
   else
     sfo_hold_promotion (sv, now_us);
 }
@@ -125,6 +169,11 @@
     }
   if (!over && (target || sync))
     return;
+  if (target && sync)
+    {
+      promote_or_claim (sv, target, now_us);
+      return;
+    }
   if (target)
     set_target (sv, target);
   sfo_order_promotion (sv, now_us);
@@ -148,22 +197,6 @@
     sfo_order_promotion (sv, now_us);
 }
 
-void
-sfo_resume_replicas (struct sfo_service *sv, int64_t now_us)
-{
-  struct plr_command command
-      = { STM_RESUME, 0, sfo_find_primary (sv), sv->resume_after_us };
-
-  if (sv->resume_after_us == 0 || now_us < sv->resume_after_us
-      || now_us - sv->last_command_us < STATUS_INTERVAL_US)
-    return;
-  sv->last_command_us = now_us;
-  if (sv->svc->sync_replicas == 0
-      || now_us - sv->resume_after_us > RESUME_FOR_US
-      || plr_command_instances (sv->sfo->o.pooler, sv->svc, &command, now_us))
-    sv->resume_after_us = 0;
-}
-
 void
 sfo_tick_confirming (struct sfo_service *sv, int64_t now_us)
 {
@@ -196,12 +229,12 @@
     sfo_resume_monitoring (sv, RETRY_PAUSE_US, now_us);
 }
 
-/* This proxy won the claim.  */
+/* This proxy won the claim; TARGET as in struct sfo_claim.  */
 static void
-note_own_claim (struct sfo_service *sv, uint64_t token, bool promotes,
+note_own_claim (struct sfo_service *sv, uint64_t token, const char *target,
                 int64_t now_us)
 {
-  struct sfo_claim claim = { sv->svc->name, sv->sfo->o.vm, token, promotes };
+  struct sfo_claim claim = { sv->svc->name, sv->sfo->o.vm, token, target };
 
   sfo_note_claim (sv->sfo, &claim, now_us);
 }
@@ -220,7 +253,7 @@
   if (sv->state == SFO_CLAIMING_AHEAD)
     {
       if (token > 0)
-        note_own_claim (sv, token, false, now_us);
+        note_own_claim (sv, token, NULL, now_us);
       sfo_set_state (sv, SFO_MONITORING, now_us);
       return;
     }
@@ -229,7 +262,7 @@
   if (token > 0)
     {
       ctr_add (s->o.counters, CTR_CLAIMS, 1);
-      note_own_claim (sv, token, true, now_us);
+      note_own_claim (sv, token, sv->target_id, now_us);
       start_promotion (sv, token, now_us);
     }
   else if (!answered && may_use_held_claim (sv))
@@ -244,7 +277,8 @@
 sfo_complete_promotion (struct sfo *s, const char *service,
                         enum sfo_promote_result result, int64_t now_us)
 {
-  static const char *const outcomes[] = { "done", "refused", "lost" };
+  static const char *const outcomes[]
+      = { "done", "refused", "rejected", "lost" };
   struct sfo_service *sv = sfo_get_service (s, service);
   struct svc_instance *target;
 
@@ -256,16 +290,19 @@
     return;
   if (result == SFO_PROMOTED)
     {
+      sfo_set_unsettled (sv, NULL);
       sfo_set_state (sv, SFO_CONFIRMING, now_us);
       return;
     }
-  if (result == SFO_PROMOTE_LOST && sv->attempts < PROMOTE_ATTEMPTS_MAX)
+  if (result == SFO_PROMOTE_LOST)
+    sfo_set_unsettled (sv, sv->target_id);
+  if (result != SFO_PROMOTE_REFUSED && sv->attempts < PROMOTE_ATTEMPTS_MAX)
     {
       sfo_set_state (sv, SFO_PROMOTE_RETRY, now_us);
       return;
     }
   target = svc_find (sv->svc, sv->target_id);
-  if (target)
+  if (target && (result == SFO_PROMOTE_REFUSED || sv->svc->sync_replicas == 0))
     target->ineligible_until_us = now_us + CONFIRM_WAIT_US;
   /* The next attempt requests a new claim instead of reusing the token.  */
   sv->token = 0;
@@ -278,9 +315,3 @@
   if (now_us - sv->state_since_us > PROMOTE_RETRY_US)
     sfo_order_promotion (sv, now_us);
 }
-
-void
-sfo_expect_pause (struct sfo_service *sv, int64_t now_us)
-{
-  sv->resume_after_us = now_us + RESUME_AFTER_US;
-}
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -18,8 +18,6 @@
 #define HOLDER_GONE_US 4000000
 /* Pause between two attempts to take a claim ahead of need.  */
 #define CLAIM_AHEAD_INTERVAL_US 2000000
-/* Wait per rank before a proxy acts, so that usually only one claims.  */
-#define RANK_STEP_US 100000
 #define RANK_MAX 5
 /* An instance counts as reachable when it was heard from within this time.  */
 #define HEARD_MAX_AGE_US 1500000
@@ -34,6 +32,8 @@
   g_free (sv->primary_id);
   g_free (sv->target_id);
   g_free (sv->holder);
+  g_free (sv->claim_target);
+  g_free (sv->unsettled_id);
   g_free (sv);
 }
 
@@ -187,8 +187,8 @@
 
 /* The number of VOTERS whose hash for SERVICE is higher than that of this
    proxy, at most RANK_MAX.  */
-static uint32_t
-own_rank (const struct sfo *s, const char *service, GHashTable *voters)
+uint32_t
+sfo_own_rank (const struct sfo *s, const char *service, GHashTable *voters)
 {
   uint64_t own = rdv_weight (service, s->o.vm);
   uint32_t rank = 0;
@@ -210,7 +210,7 @@
 {
   uint32_t rank = sfo_holds_claim (sv)
                       ? 0
-                      : 1 + own_rank (sv->sfo, sv->svc->name, voters);
+                      : 1 + sfo_own_rank (sv->sfo, sv->svc->name, voters);
 
   if (sv->promote_claim_us > 0 && !sfo_holds_claim (sv)
       && now_us - sv->promote_claim_us < OTHER_CLAIM_GRACE_US)
@@ -234,7 +234,7 @@
     plr_request_status (sv->sfo->o.pooler, sv->svc, now_us);
 }
 
-void
+bool
 sfo_command_replicas (struct sfo_service *sv, enum stm_kind kind,
                       int64_t now_us)
 {
@@ -242,25 +242,37 @@
                                  sfo_find_primary (sv), sv->state_since_us };
 
   if (now_us - sv->last_command_us < STATUS_INTERVAL_US)
-    return;
+    return false;
   sv->last_command_us = now_us;
-  plr_command_instances (sv->sfo->o.pooler, sv->svc, &command, now_us);
+  return plr_command_instances (sv->sfo->o.pooler, sv->svc, &command, now_us);
 }
 
-static void
-start_collecting (struct sfo_service *sv, const struct sfo_evidence *e,
-                  int64_t now_us)
+void
+sfo_start_collecting (struct sfo_service *sv, const char *cause,
+                      int64_t now_us)
 {
   const struct svc_instance *primary = sfo_find_primary (sv);
 
-  sv->planned = e->draining || !e->registered;
+  sv->planned = false;
+  sv->suspicion_claim = sv->claim_revision;
   sv->known_position = primary ? cnd_highest_position (primary) : LP_NONE;
-  sv->cause = sfo_cause_name (e);
+  sv->cause = cause;
   sfo_log_decision (sv, "replace", now_us);
   sfo_set_state (sv, SFO_COLLECTING, now_us);
   sfo_request_status (sv, now_us, now_us);
 }
 
+static void
+replace_primary (struct sfo_service *sv, const struct sfo_evidence *e,
+                 int64_t now_us)
+{
+  uint64_t suspicion_claim = sv->suspicion_claim;
+
+  sfo_start_collecting (sv, sfo_cause_name (e), now_us);
+  sv->suspicion_claim = suspicion_claim;
+  sv->planned = e->draining || !e->registered;
+}
+
 /* True when the primary is to be replaced but no candidate is known: replicas
    without sessions send nothing unless they are probed.  */
 static bool
@@ -290,12 +302,13 @@
   bool gone = sv->holder_gone_since_us > 0
               && now_us - sv->holder_gone_since_us >= HOLDER_GONE_US;
 
-  return (!sv->holder || gone) && now_us >= sv->claim_ahead_after_us
-         && own_rank (sv->sfo, sv->svc->name, voters) == 0;
+  return (!sv->holder || gone) && !sfo_is_claim_open (sv)
+         && now_us >= sv->claim_ahead_after_us
+         && sfo_own_rank (sv->sfo, sv->svc->name, voters) == 0;
 }
 
-static void
-claim_ahead (struct sfo_service *sv, int64_t now_us)
+void
+sfo_claim_ahead (struct sfo_service *sv, int64_t now_us)
 {
   struct sfo *s = sv->sfo;
 
@@ -320,9 +333,11 @@
       track_holder (sv, voters, now_us);
       if (should_claim_ahead (sv, voters, now_us))
         {
-          claim_ahead (sv, now_us);
+          sfo_claim_ahead (sv, now_us);
           return;
         }
+      if (sfo_is_claim_open (sv))
+        sfo_tick_open_claim (sv, voters, now_us);
     }
   if (lacks_candidates (e))
     plr_seek_candidates (sv->sfo->o.pooler, sv->svc, now_us);
@@ -334,7 +349,7 @@
   sv->suspicion_claim = sv->claim_revision;
   if (decision == SFO_REPLACE)
     {
-      start_collecting (sv, e, now_us);
+      replace_primary (sv, e, now_us);
       return;
     }
   sv->votes = (struct sfo_votes){ 0, 1, 1, g_hash_table_size (voters) };
@@ -370,7 +385,7 @@
   if (sfo_evaluate (e) == SFO_KEEP)
     sfo_resume_monitoring (sv, 0, now_us);
   else if (sfo_votes_suffice (&sv->votes))
-    start_collecting (sv, e, now_us);
+    replace_primary (sv, e, now_us);
   else
     {
       ctr_add (sv->sfo->o.counters, CTR_SUCCESSIONS_SPARED, 1);
@@ -379,14 +394,17 @@
     }
 }
 
-static void
-request_claim (struct sfo_service *sv, const struct svc_instance *target,
-               int64_t now_us)
+void
+sfo_request_claim (struct sfo_service *sv, const struct svc_instance *target,
+                   int64_t now_us)
 {
   struct sfo *s = sv->sfo;
 
-  g_free (sv->target_id);
-  sv->target_id = g_strdup (target->entry->id);
+  if (target->entry->id != sv->target_id)
+    {
+      g_free (sv->target_id);
+      sv->target_id = g_strdup (target->entry->id);
+    }
   sv->claim_requested_us = now_us;
   sfo_set_state (sv, SFO_CLAIMING, now_us);
   s->o.port->ops->claim (s->o.port, sv->svc->name, sv->claim_revision,
@@ -398,7 +416,11 @@
                    const struct svc_instance *primary, bool paused,
                    int64_t now_us)
 {
-  return cnd_choose (sv->svc, primary, sv->state_since_us, paused, now_us);
+  const struct svc_instance *preferred
+      = sv->target_id ? svc_find (sv->svc, sv->target_id) : NULL;
+
+  return cnd_choose (sv->svc, primary, preferred, sv->state_since_us, paused,
+                     now_us);
 }
 
 bool
@@ -414,9 +436,11 @@
 choose_for_claim (const struct sfo_service *sv,
                   const struct svc_instance *primary, int64_t now_us)
 {
+  if (sv->svc->sync_replicas > 0 && sv->unsettled_id)
+    return sfo_choose_unsettled (sv, now_us);
   if (sv->svc->sync_replicas == 0 || !sfo_can_step_down (sv, primary))
     return sfo_choose_target (sv, primary, false, now_us);
-  return cnd_choose_reported (sv->svc, primary, sv->known_position,
+  return cnd_choose_reported (sv->svc, primary, NULL, sv->known_position,
                               sv->state_since_us, now_us);
 }
 
@@ -447,7 +471,7 @@
     return;
   target = choose_for_claim (sv, primary, now_us);
   if (target)
-    request_claim (sv, target, now_us);
+    sfo_request_claim (sv, target, now_us);
   else if (sv->svc->sync_replicas == 0
            || now_us - sv->state_since_us > STATUS_MAX_US)
     sfo_hold_promotion (sv, now_us);
@@ -462,7 +486,6 @@
   switch (sv->state)
     {
     case SFO_MONITORING:
-      sfo_resume_replicas (sv, now_us);
       tick_monitoring (sv, &e, voters, now_us);
       break;
     case SFO_POLLING_PEERS:
@@ -472,7 +495,7 @@
       tick_collecting (sv, primary, now_us);
       break;
     case SFO_PAUSING:
-      sfo_tick_pausing (sv, primary, now_us);
+      sfo_tick_pausing (sv, primary, &e, now_us);
       break;
     case SFO_STEPPING_DOWN:
       sfo_tick_stepping_down (sv, primary, now_us);
@@ -483,6 +506,9 @@
     case SFO_CONFIRMING:
       sfo_tick_confirming (sv, now_us);
       break;
+    case SFO_RESUMING:
+      sfo_tick_resuming (sv, &e, now_us);
+      break;
     case SFO_CLAIMING:
       sfo_tick_claiming (sv, now_us);
       break;
@@ -518,6 +544,14 @@
 
 /* Events.  */
 
+/* Returns true if VM is this proxy and the reply to its claim is due.  */
+static bool
+is_own_request (const struct sfo_service *sv, const char *vm)
+{
+  return g_strcmp0 (vm, sv->sfo->o.vm) == 0
+         && (sv->state == SFO_CLAIMING || sv->state == SFO_CLAIMING_AHEAD);
+}
+
 void
 sfo_note_claim (struct sfo *s, const struct sfo_claim *claim, int64_t now_us)
 {
@@ -525,16 +559,19 @@
 
   if (claim->revision <= sv->claim_revision)
     return;
-  if (claim->promotes)
-    {
-      sv->promote_claim_us = now_us;
-      sfo_expect_pause (sv, now_us);
-    }
+  /* What the holder ordered with its claim is not known here, also when it is
+     a former process of this proxy.  */
+  if (!claim->target || !is_own_request (sv, claim->vm))
+    sfo_set_unsettled (sv, claim->target);
+  if (claim->target)
+    sv->promote_claim_us = now_us;
   /* A claim taken ahead of need says nothing about a primary that is
      suspected here.  */
   else if (sv->suspicion_claim == sv->claim_revision)
     sv->suspicion_claim = claim->revision;
   sv->claim_revision = claim->revision;
+  g_free (sv->claim_target);
+  sv->claim_target = g_strdup (claim->target);
   g_free (sv->holder);
   sv->holder = g_strdup (claim->vm);
   sv->holder_gone_since_us = 0;
--- a/packages/core/sessionfailover.h
+++ b/packages/core/sessionfailover.h
@@ -12,7 +12,13 @@
    promotion: it rises with each claim, and no two proxies share one.  A claim
    stands until another proxy takes it; there is no lease to renew.  In normal
    operation the first proxy by rank takes the claim on each service ahead of
-   need, so that one proxy can promote while the store is unavailable.  */
+   need, so that one proxy can promote while the store is unavailable.
+
+   Where commits wait for replicas, a claim to promote stays open until its
+   holder knows that no promotion of before can be carried out any more and has
+   resumed the replicas; it then takes the claim anew, ahead of need.  An open
+   claim whose holder is gone is taken over.  See
+   docs/design/promotions.md.  */
 #ifndef CB_SESSIONFAILOVER_H
 #define CB_SESSIONFAILOVER_H
 
@@ -52,8 +58,9 @@
 enum sfo_promote_result
 {
   SFO_PROMOTED,
-  SFO_PROMOTE_REFUSED, /* outdated token, or the instance does not run */
-  SFO_PROMOTE_LOST     /* no reply: it may still be carried out */
+  SFO_PROMOTE_REFUSED,  /* outdated token, or the instance does not run */
+  SFO_PROMOTE_REJECTED, /* the platform did nothing; it may do so later */
+  SFO_PROMOTE_LOST      /* no reply: it may still be carried out */
 };
 
 struct sfo_port;
@@ -108,7 +115,7 @@
   const char *service;
   const char *vm;
   uint64_t revision;
-  bool promotes; /* taken to promote at once, else ahead of need */
+  const char *target; /* to be promoted at once; NULL: taken ahead of need */
 };
 
 /* Records a claim that this proxy learned of.  */
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -1,6 +1,7 @@
 /* Shared by the files of the failover on the session path: sessionfailover.c
    (suspicion, votes and claims ahead of need), failoverdecision.c (decisions
-   without state) and promotion.c (from the claim to the new primary).  */
+   without state), promotion.c (from the claim to the new primary) and
+   openclaim.c (what a promotion leaves to be done).  */
 #ifndef CB_SESSIONFAILOVERINT_H
 #define CB_SESSIONFAILOVERINT_H
 
@@ -11,6 +12,8 @@
 #define STATUS_INTERVAL_US 40000
 /* How long another proxy with a new claim has to promote.  */
 #define OTHER_CLAIM_GRACE_US 1800000
+/* Wait per rank before a proxy acts, so that usually only one claims.  */
+#define RANK_STEP_US 100000
 /* Pause before the next attempt after a failed one.  */
 #define RETRY_PAUSE_US 300000
 
@@ -25,7 +28,8 @@
   SFO_PAUSING, /* waits until the replicas receive nothing any more */
   SFO_PROMOTING,
   SFO_PROMOTE_RETRY,
-  SFO_CONFIRMING /* waits until the promoted instance is confirmed primary */
+  SFO_CONFIRMING, /* waits until the promoted instance is confirmed primary */
+  SFO_RESUMING    /* waits until the replicas receive again */
 };
 
 /* The failover state of one service.  */
@@ -38,12 +42,16 @@
   int64_t act_after_us;       /* no poll or replacement before */
   int64_t turn_wait_since_us; /* start of the wait by rank, 0 = none */
   int64_t last_command_us;
-  int64_t resume_after_us;      /* replicas may be paused and are resumed then,
-                                   0 = no */
+  int64_t resuming_since_us;    /* the replicas are being resumed, 0 = not */
   char *primary_id;             /* the last one confirmed or registered */
   char *target_id;              /* the replica to promote */
   struct logpos known_position; /* of the primary when SFO_COLLECTING began */
   uint64_t claim_revision;      /* 0 = no claim known */
+  char *claim_target;           /* named by the claim, NULL = none is open */
+  /* A promotion of this instance got no reply, or its claim belongs to a proxy
+     that may have ordered it: it may still be carried out.  NULL = none.  Only
+     where commits wait for replicas.  */
+  char *unsettled_id;
   int64_t promote_claim_us; /* when a claim to promote was last learned of */
   uint64_t suspicion_claim; /* CLAIM_REVISION when the suspicion arose */
   char *holder;             /* proxy that took the claim, NULL = unknown */
@@ -90,9 +98,22 @@
    connection.  */
 void sfo_request_status (struct sfo_service *sv, int64_t since_us,
                          int64_t now_us);
-/* Sends KIND, a pause or resume, to all instances but the primary.  */
-void sfo_command_replicas (struct sfo_service *sv, enum stm_kind kind,
+/* Sends KIND, a pause or resume, to all instances but the primary.  Returns
+   true when all have replied to one sent since the state was entered.  */
+bool sfo_command_replicas (struct sfo_service *sv, enum stm_kind kind,
                            int64_t now_us);
+/* Takes the claim in order to promote TARGET.  */
+void sfo_request_claim (struct sfo_service *sv,
+                        const struct svc_instance *target, int64_t now_us);
+/* Takes the claim without a target: nothing is under way.  */
+void sfo_claim_ahead (struct sfo_service *sv, int64_t now_us);
+/* Begins to collect the status of the instances in order to promote one of
+   them for reason CAUSE.  */
+void sfo_start_collecting (struct sfo_service *sv, const char *cause,
+                           int64_t now_us);
+/* The number of VOTERS that act before this proxy, at most a few.  */
+uint32_t sfo_own_rank (const struct sfo *s, const char *service,
+                       GHashTable *voters);
 /* The replica to promote as far as the reports since the state was entered
    tell, NULL while they do not suffice or there is none.  */
 struct svc_instance *sfo_choose_target (const struct sfo_service *sv,
@@ -107,22 +128,39 @@
 
 /* promotion.c */
 
+/* Returns true if this proxy's claim is so recent that no other proxy acts on
+   the service yet.  */
+bool sfo_has_recent_claim (const struct sfo_service *sv, int64_t now_us);
 /* Calls the platform to promote the target, unless the token is too old.  */
 void sfo_order_promotion (struct sfo_service *sv, int64_t now_us);
 /* Each advances the failover in the state that it is named after.  */
 void sfo_tick_claiming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_pausing (struct sfo_service *sv,
-                       const struct svc_instance *primary, int64_t now_us);
+                       const struct svc_instance *primary,
+                       const struct sfo_evidence *e, int64_t now_us);
 void sfo_tick_stepping_down (struct sfo_service *sv,
                              const struct svc_instance *primary,
                              int64_t now_us);
 void sfo_tick_confirming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_promote_retry (struct sfo_service *sv, int64_t now_us);
-/* Resumes replicas some time after a claim to promote: the proxy that paused
-   them may have ended, and the promotion, which resumes them too, may have
-   failed.  */
-void sfo_resume_replicas (struct sfo_service *sv, int64_t now_us);
-/* Notes that replicas may be paused, so that they are resumed later.  */
-void sfo_expect_pause (struct sfo_service *sv, int64_t now_us);
+
+/* openclaim.c */
+
+/* Returns true if the claim on a service whose commits wait for replicas names
+   an instance to promote: replicas may be paused, and the promotion may not
+   have been carried out yet.  */
+bool sfo_is_claim_open (const struct sfo_service *sv);
+/* Notes that the promotion of instance ID may still be carried out; NULL: none
+   can be any more.  */
+void sfo_set_unsettled (struct sfo_service *sv, const char *id);
+/* The instance to claim for while a promotion may still be carried out, NULL
+   if it is not known yet.  */
+struct svc_instance *sfo_choose_unsettled (const struct sfo_service *sv,
+                                           int64_t now_us);
+/* Works towards closing an open claim while a primary is confirmed.  */
+void sfo_tick_open_claim (struct sfo_service *sv, GHashTable *voters,
+                          int64_t now_us);
+void sfo_tick_resuming (struct sfo_service *sv, const struct sfo_evidence *e,
+                        int64_t now_us);
 
 #endif
--- a/tests/unit/fleetworld.cc
+++ b/tests/unit/fleetworld.cc
@@ -308,13 +308,12 @@
   FleetVm *vm = VmOf (port);
   FleetWorld *w = vm->world;
   std::string name = service;
+  std::string target = instance;
 
-  bool promotes = instance[0] != '\0';
-
-  w->At (vm, 10000, [vm, w, name, promotes] {
+  w->At (vm, 10000, [vm, w, name, target] {
     uint64_t token = 1000 + ++w->serial;
-    struct sfo_claim claim
-        = { name.c_str (), vm->name.c_str (), token, promotes };
+    struct sfo_claim claim = { name.c_str (), vm->name.c_str (), token,
+                               target.empty () ? nullptr : target.c_str () };
 
     for (auto &other : w->vms)
       if (other->up && other.get () != vm)
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -272,24 +272,63 @@
 
 const struct ul_port_ops ups_ops = { UpOpen, UpSend, UpClose };
 
+// The proxy learns of the claim in the store, which VM took.
+void
+TellClaim (PoolWorld *w, const char *vm)
+{
+  struct sfo_claim claim = {};
+
+  claim.service = "stock";
+  claim.vm = vm;
+  claim.revision = w->claim_revision;
+  if (!w->claim_target.empty ())
+    claim.target = w->claim_target.c_str ();
+  sfo_note_claim (w->sfo, &claim, w->now_us);
+}
+
 void
 Claim (struct sfo_port *port, const char *service, uint64_t known,
        const char *instance)
 {
   PoolWorld *w = WorldOf (port);
   std::string name = service;
+  std::string target = instance;
 
-  (void)known;
-  (void)instance;
   w->claims++;
   if (w->store_silent)
     return;
-  w->At (10000, [w, name] {
-    uint64_t token = w->store_up ? ++w->revision : 0;
+  w->At (10000, [w, name, target, known] {
+    // The claim is taken only if nobody else has taken it meanwhile.
+    uint64_t token
+        = w->store_up && known == w->claim_revision ? ++w->revision : 0;
+
+    if (token > 0)
+      {
+        w->claim_revision = token;
+        w->claim_target = target;
+      }
+    else if (w->store_up)
+      TellClaim (w, "vm-2");
     sfo_complete_claim (w->sfo, name.c_str (), token, w->store_up, w->now_us);
   });
 }
 
+// Carries out a promotion and reports its result to the proxy unless it is
+// LATE, in which case the proxy no longer waits for it.
+void
+CarryOutPromotion (PoolWorld *w, const std::string &service,
+                   const std::string &id, uint64_t token, bool late)
+{
+  bool dead = w->unresponsive[id] || w->refused[id];
+  bool done = !dead && !w->promotions_fail
+              && dbm_promote (w->group, id.c_str (), token, w->now_us);
+
+  if (!late)
+    sfo_complete_promotion (w->sfo, service.c_str (),
+                            done ? SFO_PROMOTED : SFO_PROMOTE_REFUSED,
+                            w->now_us);
+}
+
 void
 Promote (struct sfo_port *port, const char *service, const char *instance,
          uint64_t token)
@@ -301,6 +340,27 @@
   w->promoted.push_back (id);
   // The platform sees the token when the call is made.
   dbm_note_token (w->group, token);
+  if (w->now_us < w->promotions_rejected_until_us)
+    {
+      w->At (5000, [w, name] {
+        sfo_complete_promotion (w->sfo, name.c_str (), SFO_PROMOTE_REJECTED,
+                                w->now_us);
+      });
+      return;
+    }
+  if (w->next_promotion_late_us > 0)
+    {
+      w->At (w->next_promotion_late_us, [w, name, id, token] {
+        CarryOutPromotion (w, name, id, token, true);
+      });
+      w->next_promotion_late_us = 0;
+      w->promotions_rejected_until_us = w->now_us + 2000000;
+      w->At (800000, [w, name] {
+        sfo_complete_promotion (w->sfo, name.c_str (), SFO_PROMOTE_LOST,
+                                w->now_us);
+      });
+      return;
+    }
   if (w->promotions_lost_after_us > 0)
     {
       w->At (w->promotions_lost_after_us, [w, name] {
@@ -310,12 +370,7 @@
       return;
     }
   w->At (150000, [w, name, id, token] {
-    bool dead = w->unresponsive[id] || w->refused[id];
-    bool done = !dead && !w->promotions_fail
-                && dbm_promote (w->group, id.c_str (), token, w->now_us);
-    sfo_complete_promotion (w->sfo, name.c_str (),
-                            done ? SFO_PROMOTED : SFO_PROMOTE_REFUSED,
-                            w->now_us);
+    CarryOutPromotion (w, name, id, token, false);
   });
 }
 
@@ -616,7 +671,8 @@
 void
 NoteClaim (PoolWorld *w, const char *vm, uint64_t revision, bool promotes)
 {
-  struct sfo_claim claim = { "stock", vm, revision, promotes };
-
-  sfo_note_claim (w->sfo, &claim, w->now_us);
+  w->claim_revision = revision;
+  w->claim_target = promotes ? "i-1" : "";
+  w->revision = std::max (w->revision, revision);
+  TellClaim (w, vm);
 }
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -115,7 +115,14 @@
   std::string overloaded_home_of; // instance whose homes refuse as overloaded
   bool store_up = true;
   bool store_silent = false; // claims get no reply
+  // The claim in the store.
+  uint64_t claim_revision = 0;
+  std::string claim_target;
   bool promotions_fail = false;
+  // The next promotion gets no reply and is carried out so much later, if
+  // positive; the platform rejects others for two seconds.
+  int64_t next_promotion_late_us = 0;
+  int64_t promotions_rejected_until_us = 0;
   // The reply to a promotion is lost, and the promotion too, if positive.
   int64_t promotions_lost_after_us = 0;
   bool objectives = true;      // the routes have latency objectives
@@ -165,7 +172,8 @@
   }
 };
 
-// Tells W that proxy VM took the claim, to promote at once or ahead of need.
+// Tells W that proxy VM took the claim, to promote i-1 at once or ahead of
+// need.
 void NoteClaim (PoolWorld *w, const char *vm, uint64_t revision,
                 bool promotes = true);
 // Fails the test when the model recorded a breach of a consistency guarantee.
--- a/tests/unit/promotion_test.cc
+++ b/tests/unit/promotion_test.cc
@@ -245,13 +245,78 @@
     }
 }
 
+// Guards against a promotion that the platform carries out seconds after the
+// call, which got no reply: the failover was given up and the replicas were
+// resumed, so that the promoted one lacked commits acknowledged since.
+TEST (SessionFailover, LatePromotionKeepsAcknowledgedCommits)
+{
+  struct
+  {
+    const char *what;
+    bool own;        // this proxy ordered it, else one that has ended
+    int64_t dark_us; // how long the primary does not reply
+    int64_t cut_us;  // how long i-1 does not reply from then on
+  } const cases[] = {
+    { "the primary is back when the platform serves again", true, 2500000, 0 },
+    { "the primary is back long after", true, 9000000, 0 },
+    { "the proxy that ordered it has ended", false, 0, 0 },
+    { "and the instance it is for does not reply for a while", false, 0,
+      5000000 },
+    { "the instance it is for does not reply either", true, 2500000, 3000000 },
+  };
+  for (const auto &c : cases)
+    {
+      PoolWorld w (67);
+      w.group->sync_replicas = 1;
+      w.Configure (2);
+      OtherWriter other (&w, 7000);
+      Caller *x = w.Open ("fresh");
+      EXPECT_EQ (w.Execute (x, STM_WRITE, nullptr, "a 1"), "ok") << c.what;
+      w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+      w.Run (500000);
+      int64_t begin_us = w.now_us;
+      if (c.own)
+        {
+          w.next_promotion_late_us = 8000000;
+          w.unresponsive["i-0"] = true;
+          w.At (c.dark_us, [&w] { w.unresponsive["i-0"] = false; });
+        }
+      else
+        {
+          NoteClaim (&w, "vm-2", 1000);
+          w.group->instances[1].paused = w.group->instances[2].paused = true;
+          w.At (8000000,
+                [&w] { dbm_promote (w.group, "i-1", 1000, w.now_us); });
+        }
+      w.At (1500000, [&w, &c] { w.unresponsive["i-1"] = c.cut_us > 0; });
+      w.At (1500000 + c.cut_us, [&w] { w.unresponsive["i-1"] = false; });
+      while (w.now_us < begin_us + 14000000)
+        {
+          // What the promoted replica would lack shows as it is behind.
+          if (w.now_us - begin_us > 7000000 && w.now_us - begin_us < 9500000)
+            w.group->instances[1].isolated = !w.group->instances[1].primary;
+          else
+            w.group->instances[1].isolated = false;
+          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+          w.Run (50000);
+        }
+      EXPECT_EQ (w.group->violations, 0u)
+          << c.what << w.group->first_violation;
+      EXPECT_EQ (w.claim_target, "") << c.what;
+      EXPECT_FALSE (w.group->instances[2].paused) << c.what;
+      EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 2"), "ok")
+          << c.what;
+    }
+}
+
 // Another proxy takes the claim and promotes REPLICA, and this one does not
 // hear of it.
 void
 PromoteElsewhere (PoolWorld *w, const char *replica)
 {
-  uint64_t token = ++w->revision;
+  uint64_t token = w->claim_revision = ++w->revision;
 
+  w->claim_target = replica;
   dbm_note_token (w->group, token);
   dbm_promote (w->group, replica, token, w->now_us);
 }
