A promotion ends when another instance leads; held claims are not used

Cause: the holder of the claim, turned away by the store, promoted with the claim taken ahead of need while another proxy had claimed and paused; that one looked up the primary anew at each tick, took the report that the new primary had sent as a replica for one of a primary that stepped down, and promoted the former primary.

Change: where commits wait for replicas only a claim taken for the promotion is used, for 1.2 s. An attempt remembers the primary that it replaces and ends when any other instance leads or reports that it does, also while reports are collected. A pause has the term of its attempt, is repeated, and counts only while nothing shows that it ended; replies that were overtaken are dropped.

--- a/packages/core/openclaim.c
+++ b/packages/core/openclaim.c
@@ -73,7 +73,7 @@
     sfo_start_collecting (sv, "unsettled", now_us);
   else if (!sfo_has_recent_claim (sv, now_us))
     {
-      sv->planned = false;
+      sfo_begin_attempt (sv, sv->svc->primary, now_us);
       sfo_request_claim (sv, sv->svc->primary, now_us);
     }
   else
--- a/packages/core/poolercommand.c
+++ b/packages/core/poolercommand.c
@@ -33,9 +33,8 @@
   return true;
 }
 
-/* Returns true if a command of this kind awaits its reply.  */
-static bool
-is_under_way (const struct svc_instance *i, enum ul_purpose purpose)
+bool
+plr_is_under_way (const struct svc_instance *i, enum ul_purpose purpose)
 {
   for (guint n = 0; n < i->links->len; n++)
     {
@@ -58,7 +57,7 @@
   struct svc_command command = { kind, term, true, now_us + COMMAND_KEEP_US };
   struct ul *link = plc_idle_link (i);
 
-  if (is_under_way (i, purpose_of (kind)))
+  if (plr_is_under_way (i, purpose_of (kind)))
     {
       i->command.until_us = command.until_us;
       return;
--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -416,6 +416,37 @@
   return result->ok || result->code == SQC_MALFORMED;
 }
 
+/* Records STATUS, the reply to REQUEST, unless a later request was answered
+   first on another link.  */
+static void
+note_report (struct svc_report *r, const struct ul_request *request,
+             const struct stm_status *status)
+{
+  r->term = MAX (r->term, status->term);
+  if (request->sent_us < r->at_us)
+    return;
+  r->at_us = request->sent_us;
+  r->primary = status->primary;
+  r->received = status->received;
+  /* Another proxy resumed the replica, or it has started again.  */
+  if (lp_compare (r->received, r->paused_at) > 0)
+    r->paused_us = 0;
+}
+
+/* Records that I was paused.  A resume that awaits its reply may take effect
+   after the pause.  */
+static void
+note_paused (struct svc_instance *i, const struct ul_request *request,
+             const struct stm_status *status)
+{
+  struct svc_report *r = &i->report;
+
+  if (request->sent_us < r->at_us || plr_is_under_way (i, UL_RESUME))
+    return;
+  r->paused_us = request->sent_us;
+  r->paused_at = status->received;
+}
+
 /* Records the reply to a status query or command.  */
 static void
 on_status (struct ul *link, const struct ul_request *request,
@@ -429,14 +460,14 @@
         r->refuses_pause = true;
       return;
     }
-  r->at_us = request->sent_us;
-  r->primary = result->status->primary;
-  r->received = result->status->received;
-  r->term = MAX (r->term, result->status->term);
+  note_report (r, request, result->status);
   if (request->purpose == UL_PAUSE)
-    r->paused_us = request->sent_us;
+    note_paused (link->instance, request, result->status);
   if (request->purpose == UL_RESUME)
-    r->resumed_us = request->sent_us;
+    {
+      r->resumed_us = request->sent_us;
+      r->paused_us = 0;
+    }
 }
 
 static void
@@ -626,6 +657,8 @@
     i->refused_since_us = now_us;
   if (refused)
     i->probe_sent_us = 0;
+  /* If the instance has started again, it is not paused any more.  */
+  i->report.paused_us = 0;
   plr_close_link (p, link, now_us);
   plr_free_closed_links (p);
 }
--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -16,8 +16,8 @@
    the claim for longer, and the call is on its way for a part of the
    difference.  */
 #define TOKEN_VALID_US (OTHER_CLAIM_GRACE_US - 600000)
-/* In that case a claim without a result is given up after this time; the
-   store's adapter reports one sooner.  */
+/* A claim without a result is given up after this time; the store's adapter
+   reports one sooner.  */
 #define CLAIM_LOST_US 4000000
 /* Time until a promotion is confirmed: its own and that of a few requests.  */
 #define CONFIRM_WAIT_US 2500000
@@ -79,6 +79,7 @@
 static void
 start_pausing (struct sfo_service *sv, int64_t now_us)
 {
+  sv->pause_term = cnd_newest_term (sv->svc) + 1;
   sfo_set_state (sv, SFO_PAUSING, now_us);
   sfo_command_replicas (sv, STM_PAUSE, now_us);
 }
@@ -118,11 +119,17 @@
 }
 
 void
-sfo_tick_pausing (struct sfo_service *sv, const struct svc_instance *primary,
-                  const struct sfo_evidence *e, int64_t now_us)
+sfo_tick_pausing (struct sfo_service *sv, const struct sfo_evidence *e,
+                  int64_t now_us)
 {
+  struct svc_instance *replaced = sfo_find_replaced (sv);
   struct svc_instance *target;
 
+  if (sfo_is_overtaken (sv))
+    {
+      sfo_resume_monitoring (sv, 0, now_us);
+      return;
+    }
   if (is_target (sv, sv->svc->primary))
     {
       tick_reconfirming (sv, now_us);
@@ -134,32 +141,37 @@
       sfo_resume_monitoring (sv, 0, now_us);
       return;
     }
-  target = sfo_choose_target (sv, primary, true, now_us);
+  target = sfo_choose_target (sv, true, now_us);
   if (target)
     promote_or_claim (sv, target, now_us);
   else if (now_us - sv->state_since_us <= PAUSE_MAX_US)
     sfo_command_replicas (sv, STM_PAUSE, now_us);
-  else if (cnd_has_stepped_down (primary, sv->claim_won_us)
-           && cnd_is_reachable (primary, now_us))
+  else if (cnd_has_stepped_down (replaced, sv->claim_won_us)
+           && cnd_is_reachable (replaced, now_us))
     /* No replica can take over: it leads again.  */
-    promote_or_claim (sv, primary, now_us);
+    promote_or_claim (sv, replaced, now_us);
   else
     sfo_hold_promotion (sv, now_us);
 }
 
 void
-sfo_tick_stepping_down (struct sfo_service *sv,
-                        const struct svc_instance *primary, int64_t now_us)
+sfo_tick_stepping_down (struct sfo_service *sv, int64_t now_us)
 {
+  const struct svc_instance *replaced = sfo_find_replaced (sv);
   bool over = now_us - sv->state_since_us > CATCH_UP_MAX_US;
   bool sync = sv->svc->sync_replicas > 0;
   struct svc_instance *target;
 
+  if (sfo_is_overtaken (sv))
+    {
+      sfo_resume_monitoring (sv, 0, now_us);
+      return;
+    }
   sfo_request_status (sv, now_us - STATUS_INTERVAL_US, now_us);
-  target = sfo_choose_target (sv, primary, false, now_us);
-  if (target && cnd_has_stepped_down (primary, sv->state_since_us)
+  target = sfo_choose_target (sv, false, now_us);
+  if (target && cnd_has_stepped_down (replaced, sv->state_since_us)
       && lp_compare (cnd_highest_position (target),
-                     cnd_highest_position (primary))
+                     cnd_highest_position (replaced))
              >= 0)
     over = true;
   else if (over && sync)
@@ -182,14 +194,11 @@
 static void
 start_promotion (struct sfo_service *sv, uint64_t token, int64_t now_us)
 {
-  struct svc_instance *primary;
-
   sv->token = token;
   sv->claim_won_us = now_us;
   sv->attempts = 0;
-  primary = sfo_find_primary (sv);
-  if (sfo_can_step_down (sv, primary)
-      && plr_request_step_down (primary, now_us))
+  if (sfo_can_step_down (sv)
+      && plr_request_step_down (sv->svc->primary, now_us))
     sfo_set_state (sv, SFO_STEPPING_DOWN, now_us);
   else if (sv->svc->sync_replicas > 0)
     start_pausing (sv, now_us);
@@ -211,11 +220,14 @@
 }
 
 /* True when this proxy may promote with the claim that it holds, without a new
-   one: if another proxy has claimed since, its token is refused.  */
+   one: if another proxy has claimed since, its token is refused once the other
+   one has promoted.  Until then both would act, so it may not where commits
+   wait for replicas: the other one goes by reports of before.  */
 static bool
 may_use_held_claim (const struct sfo_service *sv)
 {
-  return sfo_holds_claim (sv) && sv->sfo->o.tokens_are_checked;
+  return sfo_holds_claim (sv) && sv->sfo->o.tokens_are_checked
+         && sv->svc->sync_replicas == 0;
 }
 
 void
@@ -225,7 +237,7 @@
 
   if (may_use_held_claim (sv) && waited_us > CLAIM_WAIT_US)
     start_promotion (sv, sv->claim_revision, now_us);
-  else if (!sv->sfo->o.tokens_are_checked && waited_us > CLAIM_LOST_US)
+  else if (waited_us > CLAIM_LOST_US)
     sfo_resume_monitoring (sv, RETRY_PAUSE_US, now_us);
 }
 
--- a/packages/core/service.h
+++ b/packages/core/service.h
@@ -36,13 +36,14 @@
    sent, 0 = never.  */
 struct svc_report
 {
-  int64_t at_us;          /* the status, or the reply to any command */
-  int64_t paused_us;      /* a pause */
-  int64_t resumed_us;     /* a resume */
-  bool refuses_pause;     /* it does not know the command */
-  bool primary;           /* its role */
-  uint32_t term;          /* the newest that it has seen */
-  struct logpos received; /* may be ahead of what readers see */
+  int64_t at_us;           /* the status, or the reply to any command */
+  int64_t paused_us;       /* a pause that is in force */
+  struct logpos paused_at; /* received when it was paused */
+  int64_t resumed_us;      /* a resume */
+  bool refuses_pause;      /* it does not know the command */
+  bool primary;            /* its role */
+  uint32_t term;           /* the newest that it has seen */
+  struct logpos received;  /* may be ahead of what readers see */
 };
 
 /* A command that waits for an idle link.  */
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -30,6 +30,7 @@
   struct sfo_service *sv = data;
 
   g_free (sv->primary_id);
+  g_free (sv->replaced_id);
   g_free (sv->target_id);
   g_free (sv->holder);
   g_free (sv->claim_target);
@@ -238,8 +239,14 @@
 sfo_command_replicas (struct sfo_service *sv, enum stm_kind kind,
                       int64_t now_us)
 {
-  struct plr_command command = { kind, cnd_newest_term (sv->svc) + 1,
-                                 sfo_find_primary (sv), sv->state_since_us };
+  struct plr_command command
+      = { kind, sv->pause_term, sv->svc->primary, sv->state_since_us };
+
+  if (kind == STM_PAUSE)
+    {
+      command.except = sfo_find_replaced (sv);
+      command.since_us = MAX (sv->state_since_us, now_us - PAUSE_REPEAT_US);
+    }
 
   if (now_us - sv->last_command_us < STATUS_INTERVAL_US)
     return false;
@@ -247,13 +254,47 @@
   return plr_command_instances (sv->sfo->o.pooler, sv->svc, &command, now_us);
 }
 
+void
+sfo_begin_attempt (struct sfo_service *sv, const struct svc_instance *primary,
+                   int64_t now_us)
+{
+  g_free (sv->replaced_id);
+  sv->replaced_id = primary ? g_strdup (primary->entry->id) : NULL;
+  sv->attempt_since_us = now_us;
+  sv->planned = false;
+}
+
+struct svc_instance *
+sfo_find_replaced (const struct sfo_service *sv)
+{
+  return sv->replaced_id ? svc_find (sv->svc, sv->replaced_id) : NULL;
+}
+
+bool
+sfo_is_overtaken (const struct sfo_service *sv)
+{
+  const struct svc_instance *replaced = sfo_find_replaced (sv);
+
+  if (sv->svc->primary && sv->svc->primary != replaced)
+    return true;
+  for (guint n = 0; n < sv->svc->instances->len; n++)
+    {
+      const struct svc_instance *i = g_ptr_array_index (sv->svc->instances, n);
+
+      if (i != replaced && i->report.primary
+          && i->report.at_us >= sv->attempt_since_us)
+        return true;
+    }
+  return false;
+}
+
 void
 sfo_start_collecting (struct sfo_service *sv, const char *cause,
                       int64_t now_us)
 {
   const struct svc_instance *primary = sfo_find_primary (sv);
 
-  sv->planned = false;
+  sfo_begin_attempt (sv, primary, now_us);
   sv->suspicion_claim = sv->claim_revision;
   sv->known_position = primary ? cnd_highest_position (primary) : LP_NONE;
   sv->cause = cause;
@@ -412,36 +453,36 @@
 }
 
 struct svc_instance *
-sfo_choose_target (const struct sfo_service *sv,
-                   const struct svc_instance *primary, bool paused,
-                   int64_t now_us)
+sfo_choose_target (const struct sfo_service *sv, bool paused, int64_t now_us)
 {
   const struct svc_instance *preferred
       = sv->target_id ? svc_find (sv->svc, sv->target_id) : NULL;
+  int64_t since_us = sv->state_since_us;
 
-  return cnd_choose (sv->svc, primary, preferred, sv->state_since_us, paused,
-                     now_us);
+  if (paused)
+    since_us = MAX (since_us, now_us - PAUSE_REPORT_MAX_AGE_US);
+  return cnd_choose (sv->svc, sfo_find_replaced (sv), preferred, since_us,
+                     paused, now_us);
 }
 
 bool
-sfo_can_step_down (const struct sfo_service *sv,
-                   const struct svc_instance *primary)
+sfo_can_step_down (const struct sfo_service *sv)
 {
-  return sv->planned && primary && sv->svc->primary == primary;
+  return sv->planned && sv->svc->primary
+         && sv->svc->primary == sfo_find_replaced (sv);
 }
 
 /* The replica to make the claim for.  Where commits need replicas, a primary
    steps down only in favour of one that keeps up with it.  */
 static struct svc_instance *
-choose_for_claim (const struct sfo_service *sv,
-                  const struct svc_instance *primary, int64_t now_us)
+choose_for_claim (const struct sfo_service *sv, int64_t now_us)
 {
   if (sv->svc->sync_replicas > 0 && sv->unsettled_id)
     return sfo_choose_unsettled (sv, now_us);
-  if (sv->svc->sync_replicas == 0 || !sfo_can_step_down (sv, primary))
-    return sfo_choose_target (sv, primary, false, now_us);
-  return cnd_choose_reported (sv->svc, primary, NULL, sv->known_position,
-                              sv->state_since_us, now_us);
+  if (sv->svc->sync_replicas == 0 || !sfo_can_step_down (sv))
+    return sfo_choose_target (sv, false, now_us);
+  return cnd_choose_reported (sv->svc, sv->svc->primary, NULL,
+                              sv->known_position, sv->state_since_us, now_us);
 }
 
 void
@@ -456,12 +497,11 @@
 }
 
 static void
-tick_collecting (struct sfo_service *sv, const struct svc_instance *primary,
-                 int64_t now_us)
+tick_collecting (struct sfo_service *sv, int64_t now_us)
 {
   struct svc_instance *target;
 
-  if (is_superseded (sv))
+  if (is_superseded (sv) || sfo_is_overtaken (sv))
     {
       sfo_resume_monitoring (sv, RETRY_PAUSE_US, now_us);
       return;
@@ -469,7 +509,7 @@
   sfo_request_status (sv, now_us - STATUS_INTERVAL_US, now_us);
   if (now_us - sv->state_since_us < STATUS_WAIT_US)
     return;
-  target = choose_for_claim (sv, primary, now_us);
+  target = choose_for_claim (sv, now_us);
   if (target)
     sfo_request_claim (sv, target, now_us);
   else if (sv->svc->sync_replicas == 0
@@ -492,13 +532,13 @@
       tick_polling (sv, &e, now_us);
       break;
     case SFO_COLLECTING:
-      tick_collecting (sv, primary, now_us);
+      tick_collecting (sv, now_us);
       break;
     case SFO_PAUSING:
-      sfo_tick_pausing (sv, primary, &e, now_us);
+      sfo_tick_pausing (sv, &e, now_us);
       break;
     case SFO_STEPPING_DOWN:
-      sfo_tick_stepping_down (sv, primary, now_us);
+      sfo_tick_stepping_down (sv, now_us);
       break;
     case SFO_PROMOTE_RETRY:
       sfo_tick_promote_retry (sv, now_us);
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -12,6 +12,10 @@
 #define STATUS_INTERVAL_US 40000
 /* How long another proxy with a new claim has to promote.  */
 #define OTHER_CLAIM_GRACE_US 1800000
+/* A pause is repeated after this time, and a report of a paused replica counts
+   for so long: it allows for a few refusals as busy.  */
+#define PAUSE_REPEAT_US 80000
+#define PAUSE_REPORT_MAX_AGE_US 400000
 /* Wait per rank before a proxy acts, so that usually only one claims.  */
 #define RANK_STEP_US 100000
 /* Pause before the next attempt after a failed one.  */
@@ -42,8 +46,12 @@
   int64_t act_after_us;       /* no poll or replacement before */
   int64_t turn_wait_since_us; /* start of the wait by rank, 0 = none */
   int64_t last_command_us;
-  int64_t resuming_since_us;    /* the replicas are being resumed, 0 = not */
-  char *primary_id;             /* the last one confirmed or registered */
+  int64_t resuming_since_us; /* the replicas are being resumed, 0 = not */
+  char *primary_id;          /* the last one confirmed or registered */
+  char
+      *replaced_id; /* the primary that the attempt replaces, NULL = unknown */
+  int64_t attempt_since_us;
+  uint32_t pause_term;          /* of the pauses of the attempt */
   char *target_id;              /* the replica to promote */
   struct logpos known_position; /* of the primary when SFO_COLLECTING began */
   uint64_t claim_revision;      /* 0 = no claim known */
@@ -98,8 +106,10 @@
    connection.  */
 void sfo_request_status (struct sfo_service *sv, int64_t since_us,
                          int64_t now_us);
-/* Sends KIND, a pause or resume, to all instances but the primary.  Returns
-   true when all have replied to one sent since the state was entered.  */
+/* Sends KIND to all replicas: a pause to all instances but the one to be
+   replaced, a resume to all but the confirmed primary.  A pause is repeated,
+   as it may have been ended.  Returns true when all have replied to one sent
+   since the state was entered.  */
 bool sfo_command_replicas (struct sfo_service *sv, enum stm_kind kind,
                            int64_t now_us);
 /* Takes the claim in order to promote TARGET.  */
@@ -114,14 +124,21 @@
 /* The number of VOTERS that act before this proxy, at most a few.  */
 uint32_t sfo_own_rank (const struct sfo *s, const char *service,
                        GHashTable *voters);
+/* Begins an attempt to replace PRIMARY, NULL = unknown.  */
+void sfo_begin_attempt (struct sfo_service *sv,
+                        const struct svc_instance *primary, int64_t now_us);
+/* Returns the primary that the attempt replaces, NULL if it is unknown.  */
+struct svc_instance *sfo_find_replaced (const struct sfo_service *sv);
+/* Returns true if an instance leads that was not primary when the attempt
+   began: what was learned before that says nothing any more.  */
+bool sfo_is_overtaken (const struct sfo_service *sv);
 /* The replica to promote as far as the reports since the state was entered
-   tell, NULL while they do not suffice or there is none.  */
+   tell, NULL while they do not suffice or there is none.  PAUSED: only recent
+   reports of paused replicas count.  */
 struct svc_instance *sfo_choose_target (const struct sfo_service *sv,
-                                        const struct svc_instance *primary,
                                         bool paused, int64_t now_us);
 /* Returns true if the primary, which leaves, can be told to step down.  */
-bool sfo_can_step_down (const struct sfo_service *sv,
-                        const struct svc_instance *primary);
+bool sfo_can_step_down (const struct sfo_service *sv);
 /* Ends the attempt, as no replica can be promoted at present; another begins
    later.  */
 void sfo_hold_promotion (struct sfo_service *sv, int64_t now_us);
@@ -135,12 +152,9 @@
 void sfo_order_promotion (struct sfo_service *sv, int64_t now_us);
 /* Each advances the failover in the state that it is named after.  */
 void sfo_tick_claiming (struct sfo_service *sv, int64_t now_us);
-void sfo_tick_pausing (struct sfo_service *sv,
-                       const struct svc_instance *primary,
-                       const struct sfo_evidence *e, int64_t now_us);
-void sfo_tick_stepping_down (struct sfo_service *sv,
-                             const struct svc_instance *primary,
-                             int64_t now_us);
+void sfo_tick_pausing (struct sfo_service *sv, const struct sfo_evidence *e,
+                       int64_t now_us);
+void sfo_tick_stepping_down (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_confirming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_promote_retry (struct sfo_service *sv, int64_t now_us);
 
--- a/tests/unit/promotion_test.cc
+++ b/tests/unit/promotion_test.cc
@@ -321,6 +321,145 @@
   dbm_promote (w->group, replica, token, w->now_us);
 }
 
+// Guards against a promotion that rests on reports of before another one: a
+// proxy that waited for the pause of a replica went on when another proxy had
+// a replica promoted meanwhile, took the new primary's report of before for
+// the one of a primary that has stepped down, and promoted the former primary.
+TEST (SessionFailover, PromotionByAnotherProxyEndsTheAttempt)
+{
+  struct
+  {
+    const char *what;
+    bool planned;       // the primary drains, else it crashes
+    int64_t promote_us; // from the step-down to the promotion
+    bool silent_new;    // the new primary does not reply to this proxy
+  } const cases[] = {
+    { "a planned replacement", true, 560000, false },
+    { "the same, at once", true, 20000, false },
+    { "the same, and the new primary does not reply", true, 560000, true },
+    { "the primary crashed", false, 0, false },
+  };
+  for (const auto &c : cases)
+    for (int64_t elsewhere_us = 20000; elsewhere_us < 1600000;
+         elsewhere_us += 20000)
+      {
+        PoolWorld w (68);
+        w.group->sync_replicas = 1;
+        w.Configure (2);
+        NoteClaim (&w, "vm-2", 50, false);
+        OtherWriter other (&w, 7000);
+        Caller *x = w.Open ("fresh");
+        EXPECT_EQ (w.Execute (x, STM_WRITE, nullptr, "a 1"), "ok");
+        w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+        w.Run (500000);
+        w.unresponsive["i-2"] = true;
+        if (c.planned)
+          w.Register (&w.group->instances[0], true);
+        else
+          Crash (&w, "i-0");
+        // It was ordered with the claim of before, so its token is older.
+        w.At (elsewhere_us, [&w, &c] {
+          if (c.planned)
+            w.group->instances[0].primary = false;
+        });
+        w.At (elsewhere_us + c.promote_us, [&w, &c] {
+          w.unresponsive["i-1"] = c.silent_new;
+          dbm_promote (w.group, "i-1", 50, w.now_us);
+        });
+        for (int n = 0; n < 300; n++)
+          {
+            // The proxy learns soon who leads.
+            if (!x->busy)
+              w.Send (x, STM_WRITE, nullptr, "a 2");
+            w.Run (10000);
+          }
+        EXPECT_EQ (w.group->violations, 0u)
+            << c.what << elsewhere_us << w.group->first_violation;
+      }
+}
+
+// Guards against two proxies that act at the same time: the holder of a claim
+// promoted with it while the store turned it away, though another proxy had
+// claimed since.
+TEST (SessionFailover, HeldClaimIsNotUsedWhereCommitsWait)
+{
+  for (bool planned : { true, false })
+    for (bool silent : { true, false })
+      {
+        PoolWorld w (69);
+        w.group->sync_replicas = 1;
+        w.Configure (2);
+        EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 1"),
+                   "ok");
+        w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+        w.Run (500000);
+        EXPECT_EQ (w.claims, 1u);
+        w.store_up = false;
+        w.store_silent = silent;
+        if (planned)
+          w.Register (&w.group->instances[0], true);
+        else
+          Crash (&w, "i-0");
+        auto play = [&w] {
+          for (int n = 0; n < 60; n++)
+            {
+              w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+              w.Run (100000);
+            }
+        };
+        play ();
+        EXPECT_TRUE (w.promoted.empty ()) << planned << silent;
+        EXPECT_EQ (w.group->instances[0].primary, true) << planned << silent;
+        w.store_up = true;
+        w.store_silent = false;
+        play ();
+        EXPECT_EQ (w.promoted.size (), 1u) << planned << silent;
+        ExpectNoBreach (w);
+      }
+}
+
+// Guards against a pause that is taken to be in force though it has ended: a
+// replica that receives again, because another proxy resumed it or it has
+// started anew, is paused once more before its report counts.
+TEST (SessionFailover, EndedPauseDoesNotCount)
+{
+  for (bool restarts : { false, true })
+    {
+      PoolWorld w (70);
+      w.group->sync_replicas = 1;
+      w.Configure (2);
+      OtherWriter other (&w, 7000);
+      EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 1"),
+                 "ok");
+      for (int n = 0; n < 20; n++)
+        w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+      // The primary goes on for others, and i-1 is slow to pause.
+      w.unresponsive["i-0"] = true;
+      w.group->instances[1].pauses_to_fail = 6;
+      bool ended = false;
+      for (int n = 0; n < 800; n++)
+        {
+          if (n % 10 == 0)
+            w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+          w.Run (5000);
+          struct dbm_instance *near = &w.group->instances[2];
+          if (ended || !near->paused)
+            continue;
+          ended = true;
+          near->paused = false;
+          for (auto &u : w.ups)
+            if (restarts && u->open && u->instance == near)
+              {
+                u->open = false;
+                plr_link_lost (w.pooler, u->link, false, w.now_us);
+              }
+        }
+      EXPECT_TRUE (ended) << restarts;
+      EXPECT_FALSE (w.promoted.empty ()) << restarts;
+      ExpectNoBreach (w);
+    }
+}
+
 // Guards against a promotion with an outdated claim: where the platform does
 // not check tokens, a proxy that was cut off from the store promoted with the
 // claim of before, after another one with a newer claim.
