Claims tell the instances of the group

Cause: the replicas that must report were counted from those that the process had seen listed since its start; a replica whose entry was away then was not asked, and the other one, which lacked commits, was promoted.

Change: where commits wait for replicas, the claim in the store tells all instances. Its holder takes it anew when they change. A proxy that starts counts and asks those without an entry, and sends them no statements.

--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -52,10 +52,8 @@
          && strcmp (a->entry->host, b->entry->host) == 0;
 }
 
-/* Returns true if I has left and another instance runs at its address, which
-   has taken over its log.  */
-static bool
-is_succeeded (const struct svc *s, const struct svc_instance *i)
+bool
+cnd_is_succeeded (const struct svc *s, const struct svc_instance *i)
 {
   for (guint n = 0; n < s->instances->len; n++)
     {
@@ -81,7 +79,7 @@
     {
       const struct svc_instance *i = g_ptr_array_index (s->instances, n);
 
-      if (i == primary || is_succeeded (s, i))
+      if (i == primary || cnd_is_succeeded (s, i))
         continue;
       replicas++;
       reported += has_reported (i, since_us, paused) ? 1 : 0;
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -15,6 +15,9 @@
 /* Returns true if I replies and may be promoted.  */
 bool cnd_is_candidate (const struct svc_instance *i,
                        const struct svc_instance *primary, int64_t now_us);
+/* Returns true if I has left and another instance runs at its address, which
+   has taken over its log.  */
+bool cnd_is_succeeded (const struct svc *s, const struct svc_instance *i);
 /* Returns true if I has replied of late.  */
 bool cnd_is_reachable (const struct svc_instance *i, int64_t now_us);
 /* Returns the highest position that I is known to hold.  */
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -209,6 +209,10 @@
 /* Sends a status query to every usable instance of S that has an idle
    connection.  */
 void plr_request_status (struct plr *p, struct svc *s, int64_t now_us);
+/* Adds the instance of ENTRY, which another proxy knew, unless it is known
+   here.  Until it is registered it gets no statements of callers.  */
+void plr_remember_instance (struct plr *p, const struct dir_instance *entry,
+                            int64_t now_us);
 /* A command to the instances of a service.  */
 struct plr_command
 {
--- a/packages/core/poolerdir.c
+++ b/packages/core/poolerdir.c
@@ -147,6 +147,20 @@
     plr_dispatch_waiting (p, s, now_us);
 }
 
+void
+plr_remember_instance (struct plr *p, const struct dir_instance *entry,
+                       int64_t now_us)
+{
+  struct svc *s = plr_get_service (p, entry->service);
+  struct svc_instance *i;
+
+  if (svc_find (s, entry->id))
+    return;
+  i = find_or_add_instance (p, s, entry, now_us);
+  svc_note_lapsed (i, now_us);
+  log_instance (p, entry, "remembered", now_us);
+}
+
 static void
 mark_missing (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -246,9 +246,12 @@
 note_own_claim (struct sfo_service *sv, uint64_t token, const char *target,
                 int64_t now_us)
 {
-  struct sfo_claim claim = { sv->svc->name, sv->sfo->o.vm, token, target };
+  struct sfo_claim claim
+      = { sv->svc->name, sv->sfo->o.vm, token, target, NULL };
 
   sfo_note_claim (sv->sfo, &claim, now_us);
+  g_free (sv->claim_members);
+  sv->claim_members = g_strdup (sv->requested_members);
 }
 
 void
--- a/packages/core/service.c
+++ b/packages/core/service.c
@@ -203,6 +203,12 @@
   return s->primary ? s->primary->confirmed_us : 0;
 }
 
+void
+svc_note_lapsed (struct svc_instance *instance, int64_t now_us)
+{
+  instance->missing_since_us = MAX (now_us - LAPSE_GRACE_US, 1);
+}
+
 bool
 svc_lapsed_recently (const struct svc_instance *instance, int64_t now_us)
 {
--- a/packages/core/service.h
+++ b/packages/core/service.h
@@ -173,6 +173,8 @@
    new one takes over.  */
 bool svc_may_stay_primary (const struct svc_instance *instance,
                            int64_t now_us);
+/* The entry of INSTANCE lapsed some time ago, it is not known when.  */
+void svc_note_lapsed (struct svc_instance *instance, int64_t now_us);
 /* True when the entry of INSTANCE lapsed a short while ago, which may be due
    to an outage of the store rather than of the instance.  */
 bool svc_lapsed_recently (const struct svc_instance *instance, int64_t now_us);
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -34,6 +34,8 @@
   g_free (sv->target_id);
   g_free (sv->holder);
   g_free (sv->claim_target);
+  g_free (sv->claim_members);
+  g_free (sv->requested_members);
   g_free (sv->unsettled_id);
   g_free (sv);
 }
@@ -140,7 +142,9 @@
     {
       struct svc_instance *i = g_ptr_array_index (svc->instances, n);
 
-      if (i->entry->reports_primary)
+      /* A present entry is newer than one that is gone.  */
+      if (i->entry->reports_primary
+          && (!registered || i->missing_since_us == 0))
         registered = i;
     }
   if (registered)
@@ -343,19 +347,34 @@
   bool gone = sv->holder_gone_since_us > 0
               && now_us - sv->holder_gone_since_us >= HOLDER_GONE_US;
 
-  return (!sv->holder || gone) && !sfo_is_claim_open (sv)
-         && now_us >= sv->claim_ahead_after_us
+  if (sfo_is_claim_open (sv) || now_us < sv->claim_ahead_after_us)
+    return false;
+  if (sfo_holds_claim (sv))
+    return sfo_are_members_outdated (sv);
+  return (!sv->holder || gone)
          && sfo_own_rank (sv->sfo, sv->svc->name, voters) == 0;
 }
 
 void
-sfo_claim_ahead (struct sfo_service *sv, int64_t now_us)
+sfo_send_claim (struct sfo_service *sv, const char *target)
 {
-  struct sfo *s = sv->sfo;
+  struct sfo_port *port = sv->sfo->o.port;
+  GPtrArray *members = sfo_list_members (sv);
+  struct sfo_claim_request request
+      = { sv->svc->name, sv->claim_revision, target, members };
+
+  sfo_note_requested_members (sv, members);
+  port->ops->claim (port, &request);
+  if (members)
+    g_ptr_array_free (members, TRUE);
+}
 
+void
+sfo_claim_ahead (struct sfo_service *sv, int64_t now_us)
+{
   sv->claim_ahead_after_us = now_us + CLAIM_AHEAD_INTERVAL_US;
   sfo_set_state (sv, SFO_CLAIMING_AHEAD, now_us);
-  s->o.port->ops->claim (s->o.port, sv->svc->name, sv->claim_revision, "");
+  sfo_send_claim (sv, NULL);
 }
 
 static void
@@ -439,17 +458,11 @@
 sfo_request_claim (struct sfo_service *sv, const struct svc_instance *target,
                    int64_t now_us)
 {
-  struct sfo *s = sv->sfo;
-
-  if (target->entry->id != sv->target_id)
-    {
-      g_free (sv->target_id);
-      sv->target_id = g_strdup (target->entry->id);
-    }
+  g_free (sv->target_id);
+  sv->target_id = g_strdup (target->entry->id);
   sv->claim_requested_us = now_us;
   sfo_set_state (sv, SFO_CLAIMING, now_us);
-  s->o.port->ops->claim (s->o.port, sv->svc->name, sv->claim_revision,
-                         sv->target_id);
+  sfo_send_claim (sv, sv->target_id);
 }
 
 struct svc_instance *
@@ -612,6 +625,7 @@
   sv->claim_revision = claim->revision;
   g_free (sv->claim_target);
   sv->claim_target = g_strdup (claim->target);
+  sfo_note_members (sv, claim->members, now_us);
   g_free (sv->holder);
   sv->holder = g_strdup (claim->vm);
   sv->holder_gone_since_us = 0;
--- a/packages/core/sessionfailover.h
+++ b/packages/core/sessionfailover.h
@@ -63,14 +63,23 @@
   SFO_PROMOTE_LOST      /* no reply: it may still be carried out */
 };
 
+/* A request to take the claim on SERVICE if its revision is still KNOWN.  */
+struct sfo_claim_request
+{
+  const char *service;
+  uint64_t known;           /* 0 = there is none */
+  const char *target;       /* as in struct sfo_claim */
+  const GPtrArray *members; /* the same */
+};
+
 struct sfo_port;
 
 struct sfo_port_ops
 {
-  /* Takes the claim on SERVICE if its revision is still KNOWN.  Completes with
+  /* Takes a claim; REQUEST is borrowed for the call.  Completes with
      sfo_complete_claim.  */
-  void (*claim) (struct sfo_port *port, const char *service, uint64_t known,
-                 const char *instance);
+  void (*claim) (struct sfo_port *port,
+                 const struct sfo_claim_request *request);
   /* Completes with sfo_complete_promotion.  */
   void (*promote) (struct sfo_port *port, const char *service,
                    const char *instance, uint64_t token);
@@ -116,6 +125,9 @@
   const char *vm;
   uint64_t revision;
   const char *target; /* to be promoted at once; NULL: taken ahead of need */
+  /* struct dir_instance *: the instances of SERVICE that its holder knew,
+     where commits wait for replicas; NULL = not told.  */
+  const GPtrArray *members;
 };
 
 /* Records a claim that this proxy learned of.  */
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -56,6 +56,8 @@
   struct logpos known_position; /* of the primary when SFO_COLLECTING began */
   uint64_t claim_revision;      /* 0 = no claim known */
   char *claim_target;           /* named by the claim, NULL = none is open */
+  char *claim_members;          /* told by the claim, as text; NULL = none */
+  char *requested_members; /* the same, of the last claim requested here */
   /* A promotion of this instance got no reply, or its claim belongs to a proxy
      that may have ordered it: it may still be carried out.  NULL = none.  Only
      where commits wait for replicas.  */
@@ -115,6 +117,8 @@
 /* Takes the claim in order to promote TARGET.  */
 void sfo_request_claim (struct sfo_service *sv,
                         const struct svc_instance *target, int64_t now_us);
+/* Calls the store to take the claim; TARGET as in struct sfo_claim.  */
+void sfo_send_claim (struct sfo_service *sv, const char *target);
 /* Takes the claim without a target: nothing is under way.  */
 void sfo_claim_ahead (struct sfo_service *sv, int64_t now_us);
 /* Begins to collect the status of the instances in order to promote one of
@@ -158,6 +162,21 @@
 void sfo_tick_confirming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_promote_retry (struct sfo_service *sv, int64_t now_us);
 
+/* groupmembers.c */
+
+/* Returns the instances of the service as a claim tells them, to be freed;
+   NULL where commits do not wait for replicas.  The entries are borrowed.  */
+GPtrArray *sfo_list_members (const struct sfo_service *sv);
+/* Notes MEMBERS, which a claim that is requested tells.  */
+void sfo_note_requested_members (struct sfo_service *sv,
+                                 const GPtrArray *members);
+/* Notes MEMBERS, which a claim told, may be NULL; adds those that are not
+   known here.  */
+void sfo_note_members (struct sfo_service *sv, const GPtrArray *members,
+                       int64_t now_us);
+/* Returns true if the claim tells other instances than are known here.  */
+bool sfo_are_members_outdated (const struct sfo_service *sv);
+
 /* openclaim.c */
 
 /* Returns true if the claim on a service whose commits wait for replicas names
--- a/packages/proxy/cluster.c
+++ b/packages/proxy/cluster.c
@@ -44,12 +44,11 @@
 }
 
 static void
-on_claim (struct sfo_port *port, const char *service, uint64_t known,
-          const char *instance)
+on_claim (struct sfo_port *port, const struct sfo_claim_request *request)
 {
   struct cluster *c = get_cluster (port);
 
-  c->options.sink.claim (c->options.sink.arg, service, known, instance);
+  c->options.sink.claim (c->options.sink.arg, request);
 }
 
 static void
--- a/packages/proxy/cluster.h
+++ b/packages/proxy/cluster.h
@@ -17,8 +17,7 @@
 {
   /* Claim and promote as in struct sfo_port_ops; the results are passed to the
      module that cluster_failover returns.  */
-  void (*claim) (void *arg, const char *service, uint64_t known,
-                 const char *instance);
+  void (*claim) (void *arg, const struct sfo_claim_request *request);
   void (*promote) (void *arg, const char *service, const char *instance,
                    uint64_t token);
   /* Fills in MESSAGE with the directory items newer than REVISION.  */
--- a/tests/unit/fleetworld.cc
+++ b/tests/unit/fleetworld.cc
@@ -302,18 +302,18 @@
 const struct ul_port_ops upstreams_ops = { UpOpen, UpSend, UpClose };
 
 void
-Claim (struct sfo_port *port, const char *service, uint64_t,
-       const char *instance)
+Claim (struct sfo_port *port, const struct sfo_claim_request *request)
 {
   FleetVm *vm = VmOf (port);
   FleetWorld *w = vm->world;
-  std::string name = service;
-  std::string target = instance;
+  std::string name = request->service;
+  std::string target = request->target ? request->target : "";
 
   w->At (vm, 10000, [vm, w, name, target] {
     uint64_t token = 1000 + ++w->serial;
-    struct sfo_claim claim = { name.c_str (), vm->name.c_str (), token,
-                               target.empty () ? nullptr : target.c_str () };
+    struct sfo_claim claim
+        = { name.c_str (), vm->name.c_str (), token,
+            target.empty () ? nullptr : target.c_str (), nullptr };
 
     for (auto &other : w->vms)
       if (other->up && other.get () != vm)
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -278,26 +278,43 @@
 {
   struct sfo_claim claim = {};
 
+  GPtrArray *members
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)dir_instance_free);
+
+  for (const auto &id : w->claim_members)
+    {
+      struct dir_instance d = w->Entry (dbm_find (w->group, id.c_str ()));
+
+      g_ptr_array_add (members, dir_instance_copy (&d));
+    }
+  w->claim_vm = vm;
   claim.service = "stock";
   claim.vm = vm;
   claim.revision = w->claim_revision;
   if (!w->claim_target.empty ())
     claim.target = w->claim_target.c_str ();
+  if (members->len > 0)
+    claim.members = members;
   sfo_note_claim (w->sfo, &claim, w->now_us);
+  g_ptr_array_free (members, TRUE);
 }
 
 void
-Claim (struct sfo_port *port, const char *service, uint64_t known,
-       const char *instance)
+Claim (struct sfo_port *port, const struct sfo_claim_request *request)
 {
   PoolWorld *w = WorldOf (port);
-  std::string name = service;
-  std::string target = instance;
-
+  std::string name = request->service;
+  std::string target = request->target ? request->target : "";
+  uint64_t known = request->known;
+  std::vector<std::string> members;
+
+  for (guint n = 0; request->members && n < request->members->len; n++)
+    members.push_back (
+        ((struct dir_instance *)g_ptr_array_index (request->members, n))->id);
   w->claims++;
   if (w->store_silent)
     return;
-  w->At (10000, [w, name, target, known] {
+  w->At (10000, [w, name, target, known, members] {
     // The claim is taken only if nobody else has taken it meanwhile.
     uint64_t token
         = w->store_up && known == w->claim_revision ? ++w->revision : 0;
@@ -306,6 +323,8 @@
       {
         w->claim_revision = token;
         w->claim_target = target;
+        w->claim_members = members;
+        w->claim_vm = "vm-1";
       }
     else if (w->store_up)
       TellClaim (w, "vm-2");
@@ -432,9 +451,6 @@
 
 PoolWorld::PoolWorld (uint64_t seed, uint32_t n_instances) : random (seed)
 {
-  struct plr_options o = {};
-  struct sfo_options so = {};
-
   callers_port = { { &callers_ops }, this };
   ups_port = { { &ups_ops }, this };
   failover_port = { { &sfo_ops }, this };
@@ -444,6 +460,23 @@
   vms = g_hash_table_new (g_str_hash, g_str_equal);
   g_hash_table_add (vms, (gpointer) "vm-1");
   group = dbm_new ("i", n_instances, FindSender, this);
+  StartProxy ();
+  std::function<void ()> *tick = new std::function<void ()>;
+  *tick = [this, tick] {
+    plr_tick (pooler, now_us);
+    sfo_tick (sfo, vms, now_us);
+    At (PLR_TICK_US, *tick);
+  };
+  At (0, *tick);
+  tick_ = tick;
+}
+
+void
+PoolWorld::StartProxy ()
+{
+  struct plr_options o = {};
+  struct sfo_options so = {};
+
   o.callers = &callers_port.port;
   o.upstreams = &ups_port.port;
   o.counters = counters;
@@ -462,17 +495,35 @@
   so.vm = "vm-1";
   so.tokens_are_checked = true;
   sfo = sfo_new (&so);
-  Configure (1);
-  for (uint32_t k = 0; k < n_instances; k++)
-    Register (&group->instances[k]);
-  std::function<void ()> *tick = new std::function<void ()>;
-  *tick = [this, tick] {
-    plr_tick (pooler, now_us);
-    sfo_tick (sfo, vms, now_us);
-    At (PLR_TICK_US, *tick);
-  };
-  At (0, *tick);
-  tick_ = tick;
+  if (claim_revision > 0)
+    TellClaim (this, claim_vm.c_str ());
+  Configure (config_version);
+  for (uint32_t k = 0; k < group->n; k++)
+    if (!lapsed[group->instances[k].id])
+      Register (&group->instances[k], group->instances[k].draining);
+}
+
+void
+PoolWorld::RestartProxy ()
+{
+  for (auto &c : callers)
+    {
+      c->session = nullptr;
+      c->busy = false;
+      c->in_transaction = false;
+    }
+  sfo_free (sfo);
+  plr_free (pooler);
+  for (auto &u : ups)
+    u->open = false;
+  StartProxy ();
+}
+
+void
+PoolWorld::Lapse (struct dbm_instance *i)
+{
+  lapsed[i->id] = true;
+  plr_unregister_instance (pooler, i->id, now_us);
 }
 
 PoolWorld::~PoolWorld ()
@@ -519,6 +570,7 @@
 PoolWorld::Configure (uint64_t version, std::vector<std::string> dropped)
 {
   struct dir_config *c = dir_config_new (version);
+  config_version = version;
   struct dir_service *s = g_new0 (struct dir_service, 1);
   struct
   {
@@ -551,19 +603,28 @@
 void
 PoolWorld::Register (struct dbm_instance *i, bool draining, int64_t born_ms)
 {
-  struct dir_instance d = {};
+  struct dir_instance d = Entry (i);
 
   i->draining = draining;
+  lapsed[i->id] = false;
+  d.started_ms = born_ms;
+  d.draining = draining;
+  plr_register_instance (pooler, &d, now_us);
+}
+
+struct dir_instance
+PoolWorld::Entry (struct dbm_instance *i)
+{
+  struct dir_instance d = {};
+
   d.id = i->id;
   d.service = (char *)"stock";
   d.host = (char *)"10.0.0.1";
   d.port = (uint16_t)(5000 + i->index);
   d.data_centre = (char *)(i->index == 0 ? "a" : "b");
-  d.started_ms = born_ms;
   d.slots = 2;
-  d.draining = draining;
   d.reports_primary = i->primary;
-  plr_register_instance (pooler, &d, now_us);
+  return d;
 }
 
 Caller *
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -118,6 +118,10 @@
   // The claim in the store.
   uint64_t claim_revision = 0;
   std::string claim_target;
+  std::string claim_vm;
+  std::vector<std::string> claim_members; // ids
+  uint64_t config_version = 1;
+  std::map<std::string, bool> lapsed; // instance id -> it has no entry
   bool promotions_fail = false;
   // The next promotion gets no reply and is carried out so much later, if
   // positive; the platform rejects others for two seconds.
@@ -141,6 +145,13 @@
   explicit PoolWorld (uint64_t seed, uint32_t n_instances = 3);
   ~PoolWorld ();
   void Configure (uint64_t version, std::vector<std::string> dropped = {});
+  // Starts the proxy, which learns what the store holds.
+  void StartProxy ();
+  // The process of the proxy ends and starts again; its callers are gone.
+  void RestartProxy ();
+  // Removes the directory entry of I.
+  void Lapse (struct dbm_instance *i);
+  struct dir_instance Entry (struct dbm_instance *i);
   // Writes or updates the directory entry of I.
   void Register (struct dbm_instance *i, bool draining = false,
                  int64_t born_ms = 0);
--- a/tests/unit/promotion_test.cc
+++ b/tests/unit/promotion_test.cc
@@ -460,6 +460,78 @@
     }
 }
 
+// Guards against a replica that no proxy knows of: its entry was away while
+// the proxies started, and the other replica was promoted, which lacked
+// commits that only this one had received.
+TEST (SessionFailover, ReplicaWithoutAnEntryCountsAfterARestart)
+{
+  struct
+  {
+    const char *what;
+    bool joins_late;     // i-2 has its first entry a while after the start
+    int64_t silent_us;   // i-2 does not reply for so long after the crash
+    int64_t gone_us;     // from the lapse of the entry to the restart
+    bool primary_lapses; // the primary's entry too
+    bool restarts_twice;
+    bool ends; // i-2 has left for good
+  } const cases[] = {
+    { "an entry that has just lapsed", false, 0, 20000, false, false, false },
+    { "one that is away for a while", false, 0, 3000000, false, false, false },
+    { "a replica that joined later", true, 0, 20000, false, false, false },
+    { "a replica that is silent", false, 3000000, 20000, false, false, false },
+    { "two restarts", false, 0, 20000, false, true, false },
+    { "the entry of the primary lapses too", false, 0, 20000, true, false,
+      false },
+    { "a replica that has left", false, 0, 20000, false, false, true },
+  };
+  for (const auto &c : cases)
+    {
+      PoolWorld w (71);
+      struct dbm_instance *away = &w.group->instances[2];
+      w.group->sync_replicas = 1;
+      if (c.joins_late)
+        {
+          w.lapsed[away->id] = true;
+          w.RestartProxy ();
+        }
+      w.Configure (2);
+      auto play = [&w] (int64_t us) {
+        Caller *x = w.Open ("fresh");
+        for (int64_t end_us = w.now_us + us; w.now_us < end_us;)
+          {
+            if (!x->busy)
+              w.Send (x, STM_WRITE, nullptr, "a 1");
+            w.Run (10000);
+          }
+      };
+      play (2000000);
+      w.Register (away);
+      play (3000000);
+      if (c.ends)
+        w.refused[away->id] = away->isolated = true;
+      w.Lapse (away);
+      play (c.gone_us);
+      for (int n = 0; n < 1 + c.restarts_twice; n++)
+        {
+          w.RestartProxy ();
+          play (1000000);
+        }
+      if (!c.ends)
+        w.group->instances[1].isolated = true;
+      play (500000);
+      if (c.primary_lapses)
+        w.Lapse (&w.group->instances[0]);
+      Crash (&w, "i-0");
+      w.unresponsive[away->id] = c.silent_us > 0;
+      w.At (c.silent_us, [&w, away] { w.unresponsive[away->id] = false; });
+      play (c.ends ? 25000000 : 8000000);
+      ASSERT_EQ (w.promoted.size (), 1u) << c.what;
+      EXPECT_EQ (w.promoted[0], c.ends ? "i-1" : "i-2") << c.what;
+      EXPECT_EQ (w.group->violations, 0u)
+          << c.what << w.group->first_violation;
+    }
+}
+
 // Guards against a promotion with an outdated claim: where the platform does
 // not check tokens, a proxy that was cut off from the store promoted with the
 // claim of before, after another one with a newer claim.
--- a/tests/unit/registry_test.cc
+++ b/tests/unit/registry_test.cc
@@ -34,6 +34,7 @@
 {
   struct loop loop;
   struct kvs *store;
+  bool owns_store;
   struct http_client *client;
   struct vmt_table vms;
   struct fed *feed;
@@ -41,12 +42,15 @@
   struct ctr_set *counters;
   GHashTable *regions;
   std::set<std::string> instances;
-  std::map<std::string, uint64_t> claims; // service -> position
-  std::map<std::string, uint64_t> won;    // service -> token, 0 = not won
+  std::map<std::string, uint64_t> claims;     // service -> position
+  std::map<std::string, std::string> targets; // of the claims, "-" = none
+  std::map<std::string, std::string> members; // the instances that they tell
+  std::map<std::string, uint64_t> won;        // service -> token, 0 = not won
   bool loaded = false;
   int resets = 0;
 
-  explicit World (uint32_t page_size);
+  // Starts a store, unless it reads one that runs.
+  explicit World (uint32_t page_size, struct kvs *running = nullptr);
   ~World ();
   // Runs the loop until DONE; false after kWaitUs.
   template <typename F> bool RunUntil (F done);
@@ -65,6 +69,15 @@
   ((World *)arg)->instances.erase (id);
 }
 
+std::string
+Describe (const struct dir_instance *i)
+{
+  return std::string (i->id) + " " + i->service + " " + i->host + ":"
+         + std::to_string (i->port) + " " + i->data_centre + " "
+         + std::to_string (i->started_ms) + " " + std::to_string (i->slots)
+         + (i->reports_primary ? " primary\n" : " replica\n");
+}
+
 struct registry_sink
 Sink (World *w)
 {
@@ -81,7 +94,14 @@
   s.store_reset = [] (void *arg) { ((World *)arg)->resets++; };
   s.entry_lost = [] (void *) {};
   s.claim = [] (void *arg, const struct sfo_claim *c) {
-    ((World *)arg)->claims[c->service] = c->revision;
+    World *world = (World *)arg;
+
+    world->claims[c->service] = c->revision;
+    world->targets[c->service] = c->target ? c->target : "-";
+    world->members[c->service] = "";
+    for (guint n = 0; c->members && n < c->members->len; n++)
+      world->members[c->service] += Describe (
+          (const struct dir_instance *)g_ptr_array_index (c->members, n));
   };
   s.claim_result = [] (void *arg, const char *service, uint64_t token, bool) {
     ((World *)arg)->won[service] = token;
@@ -90,7 +110,7 @@
   return s;
 }
 
-World::World (uint32_t page_size)
+World::World (uint32_t page_size, struct kvs *running)
 {
   struct registry_options o = {};
   struct fed_options fo = {};
@@ -98,7 +118,8 @@
   counters = g_new0 (struct ctr_set, 1);
   regions = g_hash_table_new (g_str_hash, g_str_equal);
   EXPECT_TRUE (loop_init (&loop));
-  store = kvs_new (kListen, nullptr, nullptr);
+  owns_store = !running;
+  store = running ? running : kvs_new (kListen, nullptr, nullptr);
   EXPECT_NE (store, nullptr);
   kvs_set_page_size (store, page_size);
   client = hcl_new (&loop);
@@ -127,7 +148,8 @@
   registry_free (registry);
   fed_free (feed);
   vmt_free (&vms);
-  kvs_free (store);
+  if (owns_store)
+    kvs_free (store);
   loop_free (&loop);
   g_hash_table_destroy (regions);
   g_free (counters);
@@ -290,7 +312,8 @@
   kvs_copy (w.store);
   // What comes after the copy is lost: an instance, a claim, the own entry.
   kvs_put (w.store, "servers/i-2", Instance ().c_str ());
-  registry_claim (w.registry, "s", 0, "");
+  struct sfo_claim_request request = { "s", 0, nullptr, nullptr };
+  registry_claim (w.registry, &request);
   ASSERT_TRUE (w.RunUntil (
       [&w] { return w.instances.count ("i-2") > 0 && w.won["s"] > 0; }));
   uint64_t first_token = w.won["s"];
@@ -309,7 +332,8 @@
       })) << era;
       // A later claim has a higher token, though its revision is lower.
       w.won["s"] = 0;
-      registry_claim (w.registry, "s", first_token, "");
+      request.known = first_token;
+      registry_claim (w.registry, &request);
       ASSERT_TRUE (w.RunUntil ([&w] { return w.won["s"] > 0; })) << era;
       EXPECT_GT (w.won["s"], first_token);
       first_token = w.won["s"];
@@ -319,6 +343,60 @@
     }
 }
 
+// Guards against the loss of what a claim tells: its target and the instances
+// of the service, which other proxies and the next processes rely on.  What
+// another writer put there must not stop them.
+TEST (Registry, AClaimTellsItsTargetAndTheInstances)
+{
+  World w (500);
+  struct dir_instance d = {};
+  GPtrArray *members = g_ptr_array_new ();
+  struct sfo_claim_request request = { "s", 0, "i-1", members };
+
+  d.id = (char *)"i-1";
+  d.service = (char *)"s";
+  d.host = (char *)"10.1.0.9";
+  d.port = 80;
+  d.data_centre = (char *)"z";
+  d.started_ms = INT64_C (1700000000123);
+  d.slots = 3;
+  d.reports_primary = true;
+  g_ptr_array_add (members, &d);
+  ASSERT_TRUE (w.RunUntil ([&w] { return w.loaded; }));
+  registry_claim (w.registry, &request);
+  ASSERT_TRUE (w.RunUntil ([&w] { return w.won["s"] > 0; }));
+  World other (500, w.store);
+  ASSERT_TRUE (other.RunUntil ([&other] { return other.loaded; }));
+  EXPECT_EQ (other.claims["s"], w.won["s"]);
+  EXPECT_EQ (other.targets["s"], "i-1");
+  EXPECT_EQ (other.members["s"],
+             "i-1 s 10.1.0.9:80 z 1700000000123 3 primary\n");
+  // Taken anew without a target.
+  request = { "s", w.won["s"], nullptr, members };
+  w.won["s"] = 0;
+  registry_claim (w.registry, &request);
+  ASSERT_TRUE (w.RunUntil ([&w] { return w.won["s"] > 0; }));
+  ASSERT_TRUE (other.RunUntil (
+      [&w, &other] { return other.claims["s"] == w.won["s"]; }));
+  EXPECT_EQ (other.targets["s"], "-");
+  for (const char *odd : { "7", "{}", "[7, null, {}]",
+                           "[{\"id\":\"a b\",\"address\":\"10.1.0.9:80\"},"
+                           "{\"id\":\"x\",\"address\":\"10.1.0.9:99999\","
+                           "\"data_centre\":\"z\"}]" })
+    {
+      std::string value
+          = std::string ("{\"vm\":\"vm-9\",\"instance\":\"\",\"members\":")
+            + odd + "}";
+      uint64_t before = other.claims["s"];
+      kvs_put (w.store, "cassiabay/claim/s", value.c_str ());
+      ASSERT_TRUE (other.RunUntil ([&other, before] {
+        return other.claims["s"] > before;
+      })) << odd;
+      EXPECT_EQ (other.members["s"], "") << odd;
+    }
+  g_ptr_array_free (members, TRUE);
+}
+
 TEST (Registry, PositionsOrderErasBeforeRevisions)
 {
   struct
