A claim that the store lost with a copy is settled all the same

Cause: a store that comes back from a copy has an older claim, which may say that nothing is under way, while a promotion without an answer still is. The replicas then stayed paused, so no commit was acknowledged, until the call was carried out.

Change: proxies that knew the lost claim settle its promotion before they close the claim.

--- a/packages/core/openclaim.c
+++ b/packages/core/openclaim.c
@@ -17,7 +17,7 @@
 bool
 sfo_is_claim_open (const struct sfo_service *sv)
 {
-  return sv->svc->sync_replicas > 0 && sv->claim_target;
+  return sv->svc->sync_replicas > 0 && (sv->claim_target || sv->unsettled_id);
 }
 
 void
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -613,9 +613,11 @@
   if (claim->revision <= sv->claim_revision)
     return;
   /* What the holder ordered with its claim is not known here, also when it is
-     a former process of this proxy.  */
-  if (!claim->target || !is_own_request (sv, claim->vm))
+     a former process of this proxy.  A claim that closed an earlier one does
+     not tell of a later one that the store has lost.  */
+  if (claim->target ? !is_own_request (sv, claim->vm) : !sv->claim_is_lost)
     sfo_set_unsettled (sv, claim->target);
+  sv->claim_is_lost = false;
   if (claim->target)
     sv->promote_claim_us = now_us;
   /* A claim taken ahead of need says nothing about a primary that is
@@ -631,6 +633,23 @@
   sv->holder_gone_since_us = 0;
 }
 
+void
+sfo_note_store_reset (struct sfo *s)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, s->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct sfo_service *sv = value;
+
+      if (sv->claim_target && !sv->unsettled_id)
+        sfo_set_unsettled (sv, sv->claim_target);
+      sv->claim_is_lost = sv->unsettled_id != NULL;
+    }
+}
+
 void
 sfo_add_vote (struct sfo *s, const char *service, const char *instance,
               const char *vm, enum sfo_vote vote, int64_t now_us)
--- a/packages/core/sessionfailover.h
+++ b/packages/core/sessionfailover.h
@@ -133,6 +133,9 @@
 /* Records a claim that this proxy learned of.  */
 void sfo_note_claim (struct sfo *s, const struct sfo_claim *claim,
                      int64_t now_us);
+/* The store came back from a copy: the claims in it may be older than those
+   that are known, which are lost.  */
+void sfo_note_store_reset (struct sfo *s);
 /* The result of sfo_port_ops.claim.  TOKEN is 0 when the claim was not won.
    ANSWERED is true when the store replied.  */
 void sfo_complete_claim (struct sfo *s, const char *service, uint64_t token,
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -62,6 +62,7 @@
      that may have ordered it: it may still be carried out.  NULL = none.  Only
      where commits wait for replicas.  */
   char *unsettled_id;
+  bool claim_is_lost;       /* the store came back without the newest claim */
   int64_t promote_claim_us; /* when a claim to promote was last learned of */
   uint64_t suspicion_claim; /* CLAIM_REVISION when the suspicion arose */
   char *holder;             /* proxy that took the claim, NULL = unknown */
@@ -179,9 +180,10 @@
 
 /* openclaim.c */
 
-/* Returns true if the claim on a service whose commits wait for replicas names
-   an instance to promote: replicas may be paused, and the promotion may not
-   have been carried out yet.  */
+/* Returns true if, on a service whose commits wait for replicas, the claim
+   names an instance to promote, or named one before the store lost it:
+   replicas may be paused, and the promotion may not have been carried out yet.
+ */
 bool sfo_is_claim_open (const struct sfo_service *sv);
 /* Notes that the promotion of instance ID may still be carried out; NULL: none
    can be any more.  */
--- a/tests/unit/promotion_test.cc
+++ b/tests/unit/promotion_test.cc
@@ -309,6 +309,60 @@
     }
 }
 
+// Guards against a promotion that is forgotten with its claim: the store comes
+// back from a copy of before, and the claim that it has says that nothing is
+// under way.
+TEST (SessionFailover, PromotionIsSettledThoughTheStoreLostItsClaim)
+{
+  for (bool own : { true, false })
+    {
+      PoolWorld w (72);
+      w.group->sync_replicas = 1;
+      w.Configure (2);
+      OtherWriter other (&w, 7000);
+      EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 1"),
+                 "ok");
+      w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+      w.Run (500000);
+      int64_t begin_us = w.now_us;
+      if (own)
+        {
+          w.next_promotion_late_us = 8000000;
+          w.unresponsive["i-0"] = true;
+          w.At (2500000, [&w] { w.unresponsive["i-0"] = false; });
+        }
+      else
+        {
+          NoteClaim (&w, "vm-2", 1000);
+          w.group->instances[1].paused = w.group->instances[2].paused = true;
+          w.At (8000000,
+                [&w] { dbm_promote (w.group, "i-1", 1000, w.now_us); });
+        }
+      w.At (2400000, [&w] {
+        // The claim ahead of need that the copy has, with a higher position.
+        sfo_note_store_reset (w.sfo);
+        NoteClaim (&w, "vm-3", 5000, false);
+      });
+      w.At (7500000, [&w, own] {
+        EXPECT_FALSE (w.group->instances[2].paused) << own;
+        EXPECT_TRUE (w.group->instances[1].primary) << own;
+      });
+      while (w.now_us < begin_us + 14000000)
+        {
+          w.group->instances[1].isolated = w.now_us - begin_us > 7000000
+                                           && w.now_us - begin_us < 9500000
+                                           && !w.group->instances[1].primary;
+          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+          w.Run (50000);
+        }
+      EXPECT_EQ (w.claim_target, "") << own;
+      EXPECT_FALSE (w.group->instances[2].paused) << own;
+      EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 2"), "ok")
+          << own;
+      ExpectNoBreach (w);
+    }
+}
+
 // Another proxy takes the claim and promotes REPLICA, and this one does not
 // hear of it.
 void
