Random worlds of several proxies; a lost call ends with a newer token

Cause, found by the new worlds (three proxies, one store, promotions late, lost or rejected, replicas that lag, pauses, restarts): a call that got no reply was repeated with the same token, and the reply to the second left the first one valid; and the age of a claim was counted from a request that had failed.

Change: where commits wait for replicas, a call without a reply is followed by a new claim for the same instance. The age counts from the request that was granted.

--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -29,7 +29,7 @@
 sfo_has_recent_claim (const struct sfo_service *sv, int64_t now_us)
 {
   return sfo_holds_claim (sv) && sv->claim_revision == sv->token
-         && now_us - sv->claim_requested_us < TOKEN_VALID_US;
+         && now_us - sv->token_requested_us < TOKEN_VALID_US;
 }
 
 /* True when no other proxy can promote with a newer token before the call with
@@ -195,6 +195,7 @@
 start_promotion (struct sfo_service *sv, uint64_t token, int64_t now_us)
 {
   sv->token = token;
+  sv->token_requested_us = sv->claim_requested_us;
   sv->claim_won_us = now_us;
   sv->attempts = 0;
   if (sfo_can_step_down (sv)
@@ -309,14 +310,20 @@
       sfo_set_state (sv, SFO_CONFIRMING, now_us);
       return;
     }
+  target = svc_find (sv->svc, sv->target_id);
   if (result == SFO_PROMOTE_LOST)
     sfo_set_unsettled (sv, sv->target_id);
+  if (result == SFO_PROMOTE_LOST && target && sv->svc->sync_replicas > 0)
+    {
+      /* The lost call stays valid until the platform sees a newer token.  */
+      sfo_request_claim (sv, target, now_us);
+      return;
+    }
   if (result != SFO_PROMOTE_REFUSED && sv->attempts < PROMOTE_ATTEMPTS_MAX)
     {
       sfo_set_state (sv, SFO_PROMOTE_RETRY, now_us);
       return;
     }
-  target = svc_find (sv->svc, sv->target_id);
   if (target && (result == SFO_PROMOTE_REFUSED || sv->svc->sync_replicas == 0))
     target->ineligible_until_us = now_us + CONFIRM_WAIT_US;
   /* The next attempt requests a new claim instead of reusing the token.  */
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -69,7 +69,8 @@
   int64_t holder_gone_since_us; /* 0 = the holder is a known voter */
   int64_t claim_ahead_after_us; /* no claim is taken ahead of need before */
   uint64_t token;               /* fencing token of the promotion, 0 = none */
-  int64_t claim_requested_us;   /* the claim that gave TOKEN */
+  int64_t claim_requested_us;   /* the last one */
+  int64_t token_requested_us;   /* the one that gave TOKEN */
   int64_t claim_won_us;         /* the same, when it was granted */
   uint32_t attempts;            /* promotion calls with TOKEN */
   struct sfo_votes votes;
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -272,33 +272,6 @@
 
 const struct ul_port_ops ups_ops = { UpOpen, UpSend, UpClose };
 
-// The proxy learns of the claim in the store, which VM took.
-void
-TellClaim (PoolWorld *w, const char *vm)
-{
-  struct sfo_claim claim = {};
-
-  GPtrArray *members
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)dir_instance_free);
-
-  for (const auto &id : w->claim_members)
-    {
-      struct dir_instance d = w->Entry (dbm_find (w->group, id.c_str ()));
-
-      g_ptr_array_add (members, dir_instance_copy (&d));
-    }
-  w->claim_vm = vm;
-  claim.service = "stock";
-  claim.vm = vm;
-  claim.revision = w->claim_revision;
-  if (!w->claim_target.empty ())
-    claim.target = w->claim_target.c_str ();
-  if (members->len > 0)
-    claim.members = members;
-  sfo_note_claim (w->sfo, &claim, w->now_us);
-  g_ptr_array_free (members, TRUE);
-}
-
 void
 Claim (struct sfo_port *port, const struct sfo_claim_request *request)
 {
@@ -312,6 +285,11 @@
     members.push_back (
         ((struct dir_instance *)g_ptr_array_index (request->members, n))->id);
   w->claims++;
+  if (w->claim_hook)
+    {
+      w->claim_hook (request);
+      return;
+    }
   if (w->store_silent)
     return;
   w->At (10000, [w, name, target, known, members] {
@@ -324,7 +302,7 @@
         w->claim_revision = token;
         w->claim_target = target;
         w->claim_members = members;
-        w->claim_vm = "vm-1";
+        w->claim_vm = w->vm;
       }
     else if (w->store_up)
       TellClaim (w, "vm-2");
@@ -357,6 +335,11 @@
   std::string id = instance;
 
   w->promoted.push_back (id);
+  if (w->promote_hook)
+    {
+      w->promote_hook (id, token);
+      return;
+    }
   // The platform sees the token when the call is made.
   dbm_note_token (w->group, token);
   if (w->now_us < w->promotions_rejected_until_us)
@@ -402,7 +385,11 @@
   std::string id = instance;
 
   w->vote_requests += g_hash_table_size (voters);
-
+  if (w->votes_hook)
+    {
+      w->votes_hook (id);
+      return;
+    }
   w->At (20000, [w, name, id] {
     for (uint32_t n = 0; n < w->votes_reached; n++)
       sfo_add_vote (w->sfo, name.c_str (), id.c_str (), "vm-2",
@@ -449,17 +436,20 @@
 }
 } // namespace
 
-PoolWorld::PoolWorld (uint64_t seed, uint32_t n_instances) : random (seed)
+PoolWorld::PoolWorld (uint64_t seed, uint32_t n_instances, PoolWorld *first,
+                      const char *name)
+    : vm (name), random (seed)
 {
   callers_port = { { &callers_ops }, this };
   ups_port = { { &ups_ops }, this };
   failover_port = { { &sfo_ops }, this };
   counters = g_new0 (struct ctr_set, 1);
-  ev_init (&log, "vm-1", RecordLogLine, this);
+  ev_init (&log, vm.c_str (), RecordLogLine, this);
   regions = g_hash_table_new (g_str_hash, g_str_equal);
   vms = g_hash_table_new (g_str_hash, g_str_equal);
-  g_hash_table_add (vms, (gpointer) "vm-1");
-  group = dbm_new ("i", n_instances, FindSender, this);
+  g_hash_table_add (vms, (gpointer)vm.c_str ());
+  senders_of = first ? first : this;
+  group = first ? first->group : dbm_new ("i", n_instances, FindSender, this);
   StartProxy ();
   std::function<void ()> *tick = new std::function<void ()>;
   *tick = [this, tick] {
@@ -481,7 +471,7 @@
   o.upstreams = &ups_port.port;
   o.counters = counters;
   o.log = &log;
-  o.vm = "vm-1";
+  o.vm = vm.c_str ();
   o.data_centre = "a";
   o.regions = regions;
   o.drain_grace_us = 5000000;
@@ -492,7 +482,7 @@
   so.port = &failover_port.port;
   so.counters = counters;
   so.log = &log;
-  so.vm = "vm-1";
+  so.vm = vm.c_str ();
   so.tokens_are_checked = true;
   sfo = sfo_new (&so);
   if (claim_revision > 0)
@@ -535,7 +525,8 @@
   for (auto &u : ups)
     if (u->conn)
       dbm_disconnect (u->conn);
-  dbm_free (group);
+  if (senders_of == this)
+    dbm_free (group);
   delete (std::function<void ()> *)tick_;
   g_hash_table_destroy (regions);
   g_hash_table_destroy (vms);
@@ -666,7 +657,7 @@
   bool executes_write = kind == STM_EXECUTE && c->prepared.count (name)
                         && c->prepared[name][0] == 'w';
 
-  c->id = "q" + std::to_string (serial++);
+  c->id = vm + "-q" + std::to_string (serial++);
   s.kind = kind;
   s.id = c->id.c_str ();
   s.name = name;
@@ -689,8 +680,8 @@
   if (c->database == "own")
     sender.own_commit
         = c->in_transaction ? c->transaction_own_position : c->own_position;
-  senders[c->id] = sender;
-  sender_names[c->id] = c->name;
+  senders_of->senders[c->id] = sender;
+  senders_of->sender_names[c->id] = vm + c->name;
   sender_databases[c->id] = c->database;
   c->write_sent = kind == STM_WRITE || executes_write;
   c->commit_sent = kind == STM_COMMIT;
@@ -729,6 +720,32 @@
   EXPECT_EQ (w.group->violations, 0u) << w.group->first_violation;
 }
 
+void
+TellClaim (PoolWorld *w, const char *vm)
+{
+  struct sfo_claim claim = {};
+
+  GPtrArray *members
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)dir_instance_free);
+
+  for (const auto &id : w->claim_members)
+    {
+      struct dir_instance d = w->Entry (dbm_find (w->group, id.c_str ()));
+
+      g_ptr_array_add (members, dir_instance_copy (&d));
+    }
+  w->claim_vm = vm;
+  claim.service = "stock";
+  claim.vm = vm;
+  claim.revision = w->claim_revision;
+  if (!w->claim_target.empty ())
+    claim.target = w->claim_target.c_str ();
+  if (members->len > 0)
+    claim.members = members;
+  sfo_note_claim (w->sfo, &claim, w->now_us);
+  g_ptr_array_free (members, TRUE);
+}
+
 void
 NoteClaim (PoolWorld *w, const char *vm, uint64_t revision, bool promotes)
 {
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -87,6 +87,8 @@
 
 struct PoolWorld : VirtualTime
 {
+  std::string vm;        // name of the proxy
+  PoolWorld *senders_of; // the world that knows the senders of statements
   WorldPort<struct plr_port> callers_port;
   WorldPort<struct ul_port> ups_port;
   WorldPort<struct sfo_port> failover_port;
@@ -142,7 +144,15 @@
   std::vector<std::string> promoted;
   void *tick_ = nullptr;
 
-  explicit PoolWorld (uint64_t seed, uint32_t n_instances = 3);
+  // Replace the store, the platform and the peers, if set.
+  std::function<void (const struct sfo_claim_request *)> claim_hook;
+  std::function<void (const std::string &id, uint64_t token)> promote_hook;
+  std::function<void (const std::string &id)> votes_hook;
+
+  // FIRST: a proxy called NAME in front of the same instances as FIRST, which
+  // outlives it.
+  explicit PoolWorld (uint64_t seed, uint32_t n_instances = 3,
+                      PoolWorld *first = nullptr, const char *name = "vm-1");
   ~PoolWorld ();
   void Configure (uint64_t version, std::vector<std::string> dropped = {});
   // Starts the proxy, which learns what the store holds.
@@ -187,6 +197,8 @@
 // need.
 void NoteClaim (PoolWorld *w, const char *vm, uint64_t revision,
                 bool promotes = true);
+// Tells W of the claim in its store, which VM took.
+void TellClaim (PoolWorld *w, const char *vm);
 // Fails the test when the model recorded a breach of a consistency guarantee.
 void ExpectNoBreach (const PoolWorld &w);
 
