A proxy that missed a promotion doesn't bring back the former primary

Cause: a proxy that did not reach the new primary judged the one that it had seen lead last, and promoted an instance whose log ends in the term before the last promotion. Votes were counted more than once, and a claim that was granted seconds late was used with the evidence of before.

Change: the claim, the platform's answer and the directory tell who is to be judged. Logs of an older term than the last promotion began are left out for 10 s, but for what the new primary held when it was first confirmed. One vote for each proxy; no promotion on evidence that is 0.8 s older than the claim; no attempt goes on when a primary has been confirmed.

--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -5,6 +5,9 @@
 
 /* An instance counts as reachable when it was heard from within this time.  */
 #define HEARD_MAX_AGE_US 1500000
+/* Time without a confirmed primary after which an instance with an outdated
+   log may be promoted: those with newer logs are taken as lost.  */
+#define OUTDATED_AFTER_US 10000000
 
 bool
 cnd_is_reachable (const struct svc_instance *i, int64_t now_us)
@@ -27,6 +30,35 @@
   return lp_max (i->report.received, i->position);
 }
 
+bool
+cnd_accepts_outdated (const struct svc *s, int64_t now_us)
+{
+  return !s->primary && s->no_primary_since_us > 0
+         && now_us - s->no_primary_since_us > OUTDATED_AFTER_US;
+}
+
+uint32_t
+cnd_newest_log_term (const struct svc *s)
+{
+  uint32_t term = 0;
+
+  for (guint n = 0; n < s->instances->len; n++)
+    term = MAX (
+        term, cnd_highest_position (g_ptr_array_index (s->instances, n)).term);
+  return term;
+}
+
+bool
+cnd_is_outdated (const struct svc *s, const struct svc_instance *i)
+{
+  struct logpos position = cnd_highest_position (i);
+
+  if (position.term >= MAX (cnd_newest_log_term (s), s->term_floor))
+    return false;
+  return !lp_is_known (s->lead_start)
+         || lp_compare (position, s->lead_start) > 0;
+}
+
 bool
 cnd_has_stepped_down (const struct svc_instance *primary, int64_t since_us)
 {
@@ -90,7 +122,7 @@
 /* Without sync replicas: the most advanced candidate.  */
 static struct svc_instance *
 choose_candidate (const struct svc *s, const struct svc_instance *primary,
-                  int64_t now_us)
+                  bool accept_outdated, int64_t now_us)
 {
   struct svc_instance *best = NULL;
 
@@ -106,7 +138,7 @@
                  > 0)
         best = i;
     }
-  return best;
+  return best && (accept_outdated || !cnd_is_outdated (s, best)) ? best : NULL;
 }
 
 bool
@@ -158,7 +190,8 @@
             bool paused, int64_t now_us)
 {
   if (s->sync_replicas == 0)
-    return choose_candidate (s, primary, now_us);
+    return choose_candidate (s, primary, cnd_accepts_outdated (s, now_us),
+                             now_us);
   if (is_complete (s, primary, since_us, paused))
     return cnd_choose_reported (s, primary, preferred, LP_NONE, since_us,
                                 now_us);
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -12,7 +12,15 @@
 
 #include "service.h"
 
-/* Returns true if I replies and may be promoted.  */
+/* Returns true if the log of I may hold commits that a promotion rolled back:
+   it ends in an older term than another one that is known or than the last
+   promotion began, and after what the promoted instance held then.  */
+bool cnd_is_outdated (const struct svc *s, const struct svc_instance *i);
+/* Returns true if S has had no confirmed primary for so long that an instance
+   with an outdated log may be promoted.  */
+bool cnd_accepts_outdated (const struct svc *s, int64_t now_us);
+/* Returns true if I replies and may be promoted; whether its log is outdated
+   is not checked.  */
 bool cnd_is_candidate (const struct svc_instance *i,
                        const struct svc_instance *primary, int64_t now_us);
 /* Returns true if I has left and another instance runs at its address, which
@@ -51,6 +59,8 @@
                                  const struct svc_instance *preferred,
                                  int64_t since_us, bool paused,
                                  int64_t now_us);
+/* Returns the newest term in which a log of S is known to end, 0 = none.  */
+uint32_t cnd_newest_log_term (const struct svc *s);
 /* Returns the newest term that an instance of S has reported.  */
 uint32_t cnd_newest_term (const struct svc *s);
 
--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -11,6 +11,9 @@
 /* How long a proxy that already holds the claim, and can promote with it,
    waits for the store's reply to a new one.  */
 #define CLAIM_WAIT_US 400000
+/* After a longer wait for the claim the votes and reports that led to it are
+   too old, and the suspicion is raised anew.  */
+#define EVIDENCE_MAX_AGE_US 800000
 /* How long a token may be used from when its claim was requested, if the
    platform does not check tokens or commits wait for replicas: others respect
    the claim for longer, and the call is on its way for a part of the
@@ -135,9 +138,8 @@
       tick_reconfirming (sv, now_us);
       return;
     }
-  if (!sv->unsettled_id && e->confirmed && sfo_evaluate (e) == SFO_KEEP)
+  if (sfo_is_back (sv, e))
     {
-      /* The primary is back, and no promotion can be carried out any more.  */
       sfo_resume_monitoring (sv, 0, now_us);
       return;
     }
@@ -194,6 +196,12 @@
 static void
 start_promotion (struct sfo_service *sv, uint64_t token, int64_t now_us)
 {
+  if (sfo_is_overtaken (sv)
+      || now_us - sv->claim_requested_us > EVIDENCE_MAX_AGE_US)
+    {
+      sfo_resume_monitoring (sv, 0, now_us);
+      return;
+    }
   sv->token = token;
   sv->token_requested_us = sv->claim_requested_us;
   sv->claim_won_us = now_us;
@@ -307,6 +315,9 @@
   if (result == SFO_PROMOTED)
     {
       sfo_set_unsettled (sv, NULL);
+      sfo_note_promoted (sv, sv->target_id, now_us);
+      sv->svc->term_floor = MAX (sv->svc->term_floor, sv->next_term);
+      sv->svc->lead_start = LP_NONE;
       sfo_set_state (sv, SFO_CONFIRMING, now_us);
       return;
     }
--- a/packages/core/service.h
+++ b/packages/core/service.h
@@ -113,6 +113,10 @@
   GPtrArray *instances;         /* struct svc_instance * */
   struct svc_instance *primary; /* the confirmed one, NULL = unknown */
   int64_t no_primary_since_us;  /* 0 while one is confirmed */
+  /* The last promotion that is known began a term of at least TERM_FLOOR, and
+     the promoted instance held LEAD_START then, if that is known.  */
+  uint32_t term_floor;
+  struct logpos lead_start;
   struct svc_sample samples[SVC_SAMPLES]; /* oldest first */
   uint32_t n_samples;
   GQueue waiting;             /* struct ses *, by rank and arrival */
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -19,6 +19,8 @@
 /* Pause between two attempts to take a claim ahead of need.  */
 #define CLAIM_AHEAD_INTERVAL_US 2000000
 #define RANK_MAX 5
+/* Longest time until an instance leads for which a claim was taken.  */
+#define PROMOTION_MAX_US 1200000
 /* An instance counts as reachable when it was heard from within this time.  */
 #define HEARD_MAX_AGE_US 1500000
 /* Pause before a suspicion that the votes did not support is raised again.  */
@@ -29,7 +31,10 @@
 {
   struct sfo_service *sv = data;
 
+  g_hash_table_destroy (sv->voted);
   g_free (sv->primary_id);
+  g_free (sv->promoted_id);
+  g_free (sv->leader_id);
   g_free (sv->replaced_id);
   g_free (sv->target_id);
   g_free (sv->holder);
@@ -75,6 +80,8 @@
     {
       sv = g_new0 (struct sfo_service, 1);
       sv->sfo = s;
+      sv->voted
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       g_hash_table_insert (s->services, g_strdup (service), sv);
     }
   if (!sv->svc)
@@ -116,28 +123,42 @@
 
 /* Evidence.  */
 
-struct svc_instance *
-sfo_find_primary (struct sfo_service *sv)
+/* Returns true if the directory names REGISTERED (may be NULL) as primary, and
+   no longer names LAST, the one that was confirmed last.  */
+static bool
+is_newer_primary (const struct svc_instance *registered,
+                  const struct svc_instance *last)
 {
-  struct svc *svc = sv->svc;
-  struct svc_instance *registered = NULL;
+  return registered && registered != last && registered->missing_since_us == 0
+         && (last->missing_since_us > 0 || !last->entry->reports_primary);
+}
 
-  if (svc->primary)
-    {
-      if (g_strcmp0 (sv->primary_id, svc->primary->entry->id) != 0)
-        {
-          g_free (sv->primary_id);
-          sv->primary_id = g_strdup (svc->primary->entry->id);
-        }
-      return svc->primary;
-    }
-  if (sv->primary_id)
-    {
-      struct svc_instance *last = svc_find (svc, sv->primary_id);
+void
+sfo_note_promoted (struct sfo_service *sv, const char *id, int64_t now_us)
+{
+  g_free (sv->promoted_id);
+  sv->promoted_id = g_strdup (id);
+  sv->promoted_since_us = now_us;
+  g_free (sv->leader_id);
+  sv->leader_id = g_strdup (id);
+  /* A claim may be learned of before the instances are.  */
+  sv->next_term = sv->svc ? cnd_newest_log_term (sv->svc) + 1 : 0;
+}
+
+/* Returns true if a primary was confirmed when the last known promotion must
+   have taken effect.  The former one leads until then.  */
+static bool
+is_confirmed_since (const struct sfo_service *sv)
+{
+  return svc_confirmed_us (sv->svc) > sv->promoted_since_us + PROMOTION_MAX_US;
+}
+
+/* Returns the instance that the directory names as primary, NULL if none.  */
+static struct svc_instance *
+find_registered_primary (const struct svc *svc)
+{
+  struct svc_instance *registered = NULL;
 
-      if (last)
-        return last;
-    }
   for (guint n = 0; n < svc->instances->len; n++)
     {
       struct svc_instance *i = g_ptr_array_index (svc->instances, n);
@@ -147,12 +168,98 @@
           && (!registered || i->missing_since_us == 0))
         registered = i;
     }
-  if (registered)
+  return registered;
+}
+
+/* Returns true if no primary is confirmed and the directory names LEADER, the
+   instance that was promoted last, or has named no other one since the
+   promotion must have taken effect.  One that has denied to lead since does
+   not count: its entry is older.  */
+static bool
+is_lead_likely (const struct sfo_service *sv,
+                const struct svc_instance *leader, int64_t now_us)
+{
+  const struct svc_instance *named = find_registered_primary (sv->svc);
+
+  if (sv->svc->primary)
+    return false;
+  if (leader->entry->reports_primary)
+    return true;
+  return now_us - sv->promoted_since_us > PROMOTION_MAX_US
+         && (!named || named->missing_since_us > 0
+             || named->not_primary_us > sv->promoted_since_us);
+}
+
+static void
+set_term_floor (struct svc *svc, uint32_t term)
+{
+  svc->term_floor = term;
+  svc->lead_start = LP_NONE;
+}
+
+void
+sfo_track_term (struct sfo_service *sv, int64_t now_us)
+{
+  struct svc *svc = sv->svc;
+  struct svc_instance *leader
+      = sv->leader_id ? svc_find (svc, sv->leader_id) : NULL;
+  struct logpos position = svc->primary ? svc->primary->position : LP_NONE;
+
+  if (leader && svc->term_floor < sv->next_term
+      && (svc->primary == leader || is_lead_likely (sv, leader, now_us)))
+    set_term_floor (svc, sv->next_term);
+  if (!svc->primary || position.term >= svc->term_floor)
+    return;
+  if (svc->primary == leader && !lp_is_known (svc->lead_start))
+    svc->lead_start = position;
+  /* It goes on in its term, so no promotion has begun another one.  */
+  if (svc->primary == leader ? lp_compare (position, svc->lead_start) > 0
+                             : is_confirmed_since (sv))
+    {
+      set_term_floor (svc, position.term);
+      sv->next_term = position.term;
+    }
+}
+
+/* Returns the instance that was promoted last, NULL if there is none, it does
+   not lead, or another one leads since.  Where commits wait for replicas, the
+   open claim tells what is to be done.  */
+static struct svc_instance *
+find_promoted (struct sfo_service *sv)
+{
+  struct svc_instance *i
+      = sv->promoted_id ? svc_find (sv->svc, sv->promoted_id) : NULL;
+
+  if (i && sv->svc->sync_replicas == 0
+      && i->not_primary_us <= sv->promoted_since_us + PROMOTION_MAX_US
+      && !is_confirmed_since (sv))
+    return i;
+  g_free (sv->promoted_id);
+  sv->promoted_id = NULL;
+  return NULL;
+}
+
+struct svc_instance *
+sfo_find_primary (struct sfo_service *sv)
+{
+  struct svc *svc = sv->svc;
+  struct svc_instance *promoted = find_promoted (sv);
+  struct svc_instance *last
+      = sv->primary_id ? svc_find (svc, sv->primary_id) : NULL;
+  struct svc_instance *primary = svc->primary ? svc->primary : promoted;
+
+  if (!primary)
+    {
+      primary = find_registered_primary (svc);
+      if (last && !is_newer_primary (primary, last))
+        primary = last;
+    }
+  if (primary && primary != last)
     {
       g_free (sv->primary_id);
-      sv->primary_id = g_strdup (registered->entry->id);
+      sv->primary_id = g_strdup (primary->entry->id);
     }
-  return registered;
+  return primary;
 }
 
 static struct sfo_evidence
@@ -163,10 +270,14 @@
   struct sfo_evidence e = { 0 };
 
   for (guint n = 0; n < svc->instances->len; n++)
-    e.candidates += cnd_is_candidate (g_ptr_array_index (svc->instances, n),
-                                      primary, now_us)
-                        ? 1
-                        : 0;
+    {
+      const struct svc_instance *i = g_ptr_array_index (svc->instances, n);
+
+      if (cnd_is_candidate (i, primary, now_us)
+          && (svc->sync_replicas > 0 || !cnd_is_outdated (svc, i)
+              || cnd_accepts_outdated (svc, now_us)))
+        e.candidates++;
+    }
   if (svc->no_primary_since_us == 0 && !svc->primary)
     svc->no_primary_since_us = now_us;
   e.no_primary_for_us = svc->primary ? 0 : now_us - svc->no_primary_since_us;
@@ -292,6 +403,14 @@
   return false;
 }
 
+bool
+sfo_is_back (const struct sfo_service *sv, const struct sfo_evidence *e)
+{
+  bool unsettled = sv->svc->sync_replicas > 0 && sv->unsettled_id;
+
+  return !unsettled && e->confirmed && sfo_evaluate (e) == SFO_KEEP;
+}
+
 void
 sfo_start_collecting (struct sfo_service *sv, const char *cause,
                       int64_t now_us)
@@ -413,6 +532,7 @@
       return;
     }
   sv->votes = (struct sfo_votes){ 0, 1, 1, g_hash_table_size (voters) };
+  g_hash_table_remove_all (sv->voted);
   sv->cause = sfo_cause_name (e);
   sfo_set_state (sv, SFO_POLLING_PEERS, now_us);
   EV (sv->sfo->o.log, now_us, EV_VOTE, EV_TEXT ("service", sv->svc->name),
@@ -510,11 +630,12 @@
 }
 
 static void
-tick_collecting (struct sfo_service *sv, int64_t now_us)
+tick_collecting (struct sfo_service *sv, const struct sfo_evidence *e,
+                 int64_t now_us)
 {
   struct svc_instance *target;
 
-  if (is_superseded (sv) || sfo_is_overtaken (sv))
+  if (is_superseded (sv) || sfo_is_overtaken (sv) || sfo_is_back (sv, e))
     {
       sfo_resume_monitoring (sv, RETRY_PAUSE_US, now_us);
       return;
@@ -534,8 +655,10 @@
 tick_service (struct sfo_service *sv, GHashTable *voters, int64_t now_us)
 {
   struct svc_instance *primary = sfo_find_primary (sv);
-  struct sfo_evidence e = gather_evidence (sv, primary, now_us);
+  struct sfo_evidence e;
 
+  sfo_track_term (sv, now_us);
+  e = gather_evidence (sv, primary, now_us);
   switch (sv->state)
     {
     case SFO_MONITORING:
@@ -545,7 +668,7 @@
       tick_polling (sv, &e, now_us);
       break;
     case SFO_COLLECTING:
-      tick_collecting (sv, now_us);
+      tick_collecting (sv, &e, now_us);
       break;
     case SFO_PAUSING:
       sfo_tick_pausing (sv, &e, now_us);
@@ -620,6 +743,8 @@
   sv->claim_is_lost = false;
   if (claim->target)
     sv->promote_claim_us = now_us;
+  if (claim->target && !is_own_request (sv, claim->vm))
+    sfo_note_promoted (sv, claim->target, now_us);
   /* A claim taken ahead of need says nothing about a primary that is
      suspected here.  */
   else if (sv->suspicion_claim == sv->claim_revision)
@@ -663,8 +788,11 @@
       EV_INT ("after_us", now_us - sv->state_since_us));
   if (vote == SFO_VOTE_REACHED)
     plr_set_relay_path (s->o.pooler, service, instance, vm, now_us);
+  /* A reply to an earlier request may arrive beside the one to this request.
+   */
   if (sv->state != SFO_POLLING_PEERS
-      || g_strcmp0 (sv->primary_id, instance) != 0)
+      || g_strcmp0 (sv->primary_id, instance) != 0
+      || !g_hash_table_add (sv->voted, g_strdup (vm)))
     return;
   sv->votes.cast++;
   sv->votes.reached += vote == SFO_VOTE_REACHED ? 1 : 0;
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -48,8 +48,14 @@
   int64_t last_command_us;
   int64_t resuming_since_us; /* the replicas are being resumed, 0 = not */
   char *primary_id;          /* the last one confirmed or registered */
-  char
-      *replaced_id; /* the primary that the attempt replaces, NULL = unknown */
+  /* The instance that the newest promotion is for, while it may lead though it
+     was not confirmed here since; NULL = none.  */
+  char *promoted_id;
+  int64_t promoted_since_us;
+  char *leader_id;    /* the same, also after it was confirmed */
+  uint32_t next_term; /* the promotion begins at least this one */
+  /* The primary that the attempt replaces, NULL = unknown.  */
+  char *replaced_id;
   int64_t attempt_since_us;
   uint32_t pause_term;          /* of the pauses of the attempt */
   char *target_id;              /* the replica to promote */
@@ -74,6 +80,7 @@
   int64_t claim_won_us;         /* the same, when it was granted */
   uint32_t attempts;            /* promotion calls with TOKEN */
   struct sfo_votes votes;
+  GHashTable *voted; /* names of the proxies in VOTES */
   const char *cause; /* of the failover, for the log */
   bool planned;      /* the primary leaves; it steps down first */
 };
@@ -102,8 +109,9 @@
 bool sfo_holds_claim (const struct sfo_service *sv);
 void sfo_log_decision (struct sfo_service *sv, const char *what,
                        int64_t now_us);
-/* The instance that is or should be primary: the last one confirmed, else the
-   one that the directory names.  */
+/* The instance that is or should be primary: the one that is confirmed, else
+   the one that was promoted since, the one that the directory names in place
+   of the last one confirmed, or that one.  */
 struct svc_instance *sfo_find_primary (struct sfo_service *sv);
 /* Asks the instances for their status.  Where commits need replicas, all must
    have replied since SINCE_US; else those are asked that have an idle
@@ -130,6 +138,12 @@
 /* The number of VOTERS that act before this proxy, at most a few.  */
 uint32_t sfo_own_rank (const struct sfo *s, const char *service,
                        GHashTable *voters);
+/* Notes that instance ID was promoted, as far as this proxy knows.  */
+void sfo_note_promoted (struct sfo_service *sv, const char *id,
+                        int64_t now_us);
+/* Raises the term that logs must have reached once the promotion is known to
+   be in effect.  */
+void sfo_track_term (struct sfo_service *sv, int64_t now_us);
 /* Begins an attempt to replace PRIMARY, NULL = unknown.  */
 void sfo_begin_attempt (struct sfo_service *sv,
                         const struct svc_instance *primary, int64_t now_us);
@@ -138,6 +152,9 @@
 /* Returns true if an instance leads that was not primary when the attempt
    began: what was learned before that says nothing any more.  */
 bool sfo_is_overtaken (const struct sfo_service *sv);
+/* Returns true if the primary that the attempt replaces leads again and no
+   promotion may still be carried out.  */
+bool sfo_is_back (const struct sfo_service *sv, const struct sfo_evidence *e);
 /* The replica to promote as far as the reports since the state was entered
    tell, NULL while they do not suffice or there is none.  PAUSED: only recent
    reports of paused replicas count.  */
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -292,7 +292,7 @@
     }
   if (w->store_silent)
     return;
-  w->At (10000, [w, name, target, known, members] {
+  w->At (w->claim_takes_us, [w, name, target, known, members] {
     // The claim is taken only if nobody else has taken it meanwhile.
     uint64_t token
         = w->store_up && known == w->claim_revision ? ++w->revision : 0;
@@ -392,10 +392,12 @@
     }
   w->At (20000, [w, name, id] {
     for (uint32_t n = 0; n < w->votes_reached; n++)
-      sfo_add_vote (w->sfo, name.c_str (), id.c_str (), "vm-2",
+      sfo_add_vote (w->sfo, name.c_str (), id.c_str (),
+                    ("vm-" + std::to_string (2 + n)).c_str (),
                     SFO_VOTE_REACHED, w->now_us);
     for (uint32_t n = 0; n < w->votes_missed; n++)
-      sfo_add_vote (w->sfo, name.c_str (), id.c_str (), "vm-3",
+      sfo_add_vote (w->sfo, name.c_str (), id.c_str (),
+                    ("vm-" + std::to_string (102 + n)).c_str (),
                     SFO_VOTE_MISSED, w->now_us);
   });
 }
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -117,6 +117,7 @@
   std::string overloaded_home_of; // instance whose homes refuse as overloaded
   bool store_up = true;
   bool store_silent = false; // claims get no reply
+  int64_t claim_takes_us = 10000;
   // The claim in the store.
   uint64_t claim_revision = 0;
   std::string claim_target;
