Callers share a budget of memory, and must start a session in time

Cause: only each connection was limited, session values and prepared statements by number; memoryMb was not read, and a connection could stay without a session for ever.

Change: an eighth of memoryMb for unprocessed input and statements under way, above which the largest holder is closed; a quarter for values and prepared statements, above which only small sessions may add some; 10 s to start a session, 0.5 s when there is no room. Two counters and log lines.

--- a/packages/core/pooler.c
+++ b/packages/core/pooler.c
@@ -38,6 +38,12 @@
   svc_free (s);
 }
 
+void
+plr_set_session_memory (struct plr *p, size_t max_bytes)
+{
+  ses_prepared_table_set_max (p->prepared_table, max_bytes);
+}
+
 void
 plr_free (struct plr *p)
 {
--- a/packages/core/pooler.h
+++ b/packages/core/pooler.h
@@ -213,6 +213,8 @@
    here.  Until it is registered it gets no statements of callers.  */
 void plr_remember_instance (struct plr *p, const struct dir_instance *entry,
                             int64_t now_us);
+/* Limits the memory for what the sessions of all callers keep.  */
+void plr_set_session_memory (struct plr *p, size_t max_bytes);
 /* A command to the instances of a service.  */
 struct plr_command
 {
--- a/packages/core/session.c
+++ b/packages/core/session.c
@@ -7,6 +7,8 @@
 {
   GHashTable *by_key; /* key -> struct ses_prepared * */
   uint32_t next_id;
+  size_t kept_bytes; /* of all sessions; shared texts count for each */
+  size_t max_bytes;
 };
 
 struct ses_prepared_table *
@@ -16,9 +18,39 @@
 
   table->by_key = g_hash_table_new (g_str_hash, g_str_equal);
   table->next_id = 1;
+  table->max_bytes = SIZE_MAX;
   return table;
 }
 
+void
+ses_prepared_table_set_max (struct ses_prepared_table *table, size_t max_bytes)
+{
+  table->max_bytes = max_bytes;
+}
+
+/* Returns true if S may keep BYTES more.  */
+static bool
+may_keep (const struct ses_prepared_table *table, const struct ses *s,
+          size_t bytes)
+{
+  return table->kept_bytes + bytes <= table->max_bytes
+         || s->kept_bytes + bytes <= SES_KEPT_SMALL_BYTES;
+}
+
+static void
+keep (struct ses_prepared_table *table, struct ses *s, size_t bytes)
+{
+  table->kept_bytes += bytes;
+  s->kept_bytes += bytes;
+}
+
+static void
+unkeep (struct ses_prepared_table *table, struct ses *s, size_t bytes)
+{
+  table->kept_bytes -= bytes;
+  s->kept_bytes -= bytes;
+}
+
 void
 ses_prepared_table_free (struct ses_prepared_table *table)
 {
@@ -94,6 +126,7 @@
   s->prepared = NULL;
   s->values = NULL;
   s->values_digest = 0;
+  unkeep (table, s, s->kept_bytes);
 }
 
 void
@@ -169,6 +202,9 @@
   s->idle_since_us = now_us;
 }
 
+static const char no_memory[]
+    = "no memory for more prepared statements and session values";
+
 static void
 fail (struct stm_result *result, enum sqc code, const char *text)
 {
@@ -178,9 +214,10 @@
 }
 
 static void
-set_value (struct ses *s, const struct stm *statement,
-           struct stm_result *result)
+set_value (struct ses *s, struct ses_prepared_table *table,
+           const struct stm *statement, struct stm_result *result)
 {
+  size_t bytes = size_of (statement->name) + size_of (statement->args);
   const char *old;
 
   if (!s->values)
@@ -192,13 +229,29 @@
       fail (result, SQC_TOO_LARGE, "too many session values");
       return;
     }
+  if (!may_keep (table, s, bytes))
+    {
+      fail (result, SQC_TOO_LARGE, no_memory);
+      return;
+    }
+  keep (table, s, bytes);
   if (old)
-    s->values_digest -= ul_value_digest (statement->name, old);
+    {
+      unkeep (table, s, size_of (statement->name) + size_of (old));
+      s->values_digest -= ul_value_digest (statement->name, old);
+    }
   s->values_digest += ul_value_digest (statement->name, statement->args);
   g_hash_table_replace (s->values, g_strdup (statement->name),
                         g_strdup (statement->args));
 }
 
+/* The memory for a prepared statement: its text is kept twice.  */
+static size_t
+prepared_bytes (const char *name, const char *text)
+{
+  return size_of (name) + 2 * size_of (text);
+}
+
 static void
 deallocate (struct ses *s, struct ses_prepared_table *table, const char *name)
 {
@@ -207,6 +260,7 @@
 
   if (!prepared)
     return;
+  unkeep (table, s, prepared_bytes (name, prepared->text));
   g_hash_table_remove (s->prepared, name);
   release_prepared (table, prepared);
 }
@@ -217,6 +271,7 @@
 {
   bool writes = statement->kind == STM_PREPARE_WRITE;
   struct ses_prepared *prepared;
+  size_t bytes = prepared_bytes (statement->name, statement->args);
 
   if (!s->prepared)
     s->prepared
@@ -227,6 +282,12 @@
       fail (result, SQC_TOO_LARGE, "too many prepared statements");
       return;
     }
+  if (!may_keep (table, s, bytes))
+    {
+      fail (result, SQC_TOO_LARGE, no_memory);
+      return;
+    }
+  keep (table, s, bytes);
   prepared = acquire_prepared (table, writes, statement->args);
   deallocate (s, table, statement->name);
   g_hash_table_insert (s->prepared, g_strdup (statement->name), prepared);
@@ -242,7 +303,7 @@
   switch (statement->kind)
     {
     case STM_SET:
-      set_value (s, statement, result);
+      set_value (s, table, statement, result);
       return true;
     case STM_PREPARE_READ:
     case STM_PREPARE_WRITE:
--- a/packages/core/session.h
+++ b/packages/core/session.h
@@ -8,11 +8,17 @@
 /* Limits of one session's use of the proxy's memory.  */
 #define SES_VALUES_MAX 64
 #define SES_PREPARED_MAX 256
+/* Texts that a session may keep while the memory for them is used up.  */
+#define SES_KEPT_SMALL_BYTES (16 * 1024)
 
 /* The prepared statements of all sessions; equal ones are shared.  */
 struct ses_prepared_table;
 
 struct ses_prepared_table *ses_prepared_table_new (void);
+/* Limits the memory for the prepared statements and the session values of all
+   sessions.  Above it only sessions that use little may add some.  */
+void ses_prepared_table_set_max (struct ses_prepared_table *table,
+                                 size_t max_bytes);
 void ses_prepared_table_free (struct ses_prepared_table *table);
 
 /* A prepared statement.  It is counted by the sessions that use it; ids are
@@ -69,6 +75,7 @@
   GHashTable *values;     /* name -> value, NULL until one is set */
   uint64_t values_digest; /* their digest, see ul_value_digest */
   GHashTable *prepared;   /* name -> struct ses_prepared *, NULL until used */
+  size_t kept_bytes;      /* of the texts of VALUES and PREPARED */
   struct ses_work work;
   struct ul *link; /* held for the transaction or statement, else NULL */
   struct svc *last_commit_svc; /* whose log LAST_COMMIT refers to */
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -2,6 +2,7 @@
    is a struct caller, one to an instance a struct upstream_conn.  */
 #include "gate.h"
 
+#include "callermemory.h"
 #include "decl.h"
 
 #include <errno.h>
@@ -17,6 +18,16 @@
    probes.  */
 #define UPSTREAM_KEEPALIVE_S 1
 #define CALLER_KEEPALIVE_S 10
+/* Of the memory of the process, one part in this many is for input of callers
+   and their statements under way, as buffers grow by doubling and statements
+   are copied for an instance.  */
+#define CALLER_MEMORY_PARTS 8
+/* The same for the prepared statements and session values.  */
+#define SESSION_MEMORY_PARTS 4
+/* How long a connection may take to start a session, and how long at least
+   before it has to make room for another one.  */
+#define START_MAX_US 10000000
+#define START_MIN_US 500000
 
 /* The listening socket for callers, or the one for other proxies.  */
 struct listener
@@ -36,7 +47,9 @@
   struct listener callers_listener;
   struct listener relay_listener;
   bool open;
-  GPtrArray *callers;  /* struct caller *; closed ones are removed */
+  GPtrArray *callers; /* struct caller *; closed ones are removed */
+  GQueue starting;    /* struct caller *, oldest first: no session yet */
+  struct cmm_budget memory;
   GPtrArray *resuming; /* struct caller *: has a reply and may have more
                           input, or is closed and must be freed */
   int64_t tick_us;     /* when plr_tick is due */
@@ -52,6 +65,10 @@
   bool busy;           /* a statement is under way */
   bool resuming;       /* in gate.resuming */
   bool closed;         /* will be freed by resume_callers */
+  int64_t accepted_us;
+  GList *starting; /* its node in gate.starting, NULL = not in it */
+  struct cmm_holder memory;
+  size_t statement_bytes; /* of the statement under way */
 };
 
 /* An upstream connection.  */
@@ -91,6 +108,15 @@
   g_ptr_array_add (c->gate->resuming, c);
 }
 
+static void
+end_start (struct caller *c)
+{
+  if (!c->starting)
+    return;
+  g_queue_delete_link (&c->gate->starting, c->starting);
+  c->starting = NULL;
+}
+
 /* Closes C and its session.  FLUSH: sends pending output first.  C itself is
    freed by the next resume_callers.  */
 static void
@@ -103,6 +129,8 @@
     return;
   c->closed = true;
   c->session = NULL;
+  end_start (c);
+  cmm_set (&g->memory, &c->memory, 0);
   stream_close (c->stream, flush);
   g_ptr_array_remove_fast (g->callers, c);
   if (session)
@@ -117,6 +145,8 @@
   struct caller *c = tag;
 
   c->busy = false;
+  cmm_set (&g->memory, &c->memory, c->memory.bytes - c->statement_bytes);
+  c->statement_bytes = 0;
   g->options.codec->ops->write_result (g->options.codec,
                                        stream_output (c->stream), result);
   schedule_resume (c);
@@ -144,6 +174,7 @@
   else
     c->session
         = plr_open_session (g->pooler, c, m->database, m->key, now_us, &code);
+  end_start (c);
   if (c->session)
     {
       g->options.codec->ops->write_started (g->options.codec,
@@ -196,6 +227,8 @@
   else if (m.kind == CODEC_STATEMENT && c->session)
     {
       c->busy = true;
+      c->statement_bytes = len;
+      cmm_set (&g->memory, &c->memory, len);
       if (c->relay)
         plr_set_min_position (c->session, m.min_position);
       plr_run_statement (g->pooler, c->session, &m.statement, now_us);
@@ -205,6 +238,24 @@
   return can_read_line (c);
 }
 
+/* Closes the callers that take the most until the rest fits into the
+   budget.  */
+static void
+enforce_memory (struct gate *g)
+{
+  struct cmm_holder *excess;
+
+  while ((excess = cmm_find_excess (&g->memory)))
+    {
+      ctr_add (g->options.pooler.counters, CTR_CALLERS_OVER_MEMORY, 1);
+      EV (g->options.pooler.log, loop_now_us (), EV_SESSION,
+          EV_TEXT ("why", "takes the most memory"),
+          EV_INT ("bytes", (int64_t)excess->bytes),
+          EV_INT ("all_bytes", (int64_t)g->memory.bytes));
+      close_caller (excess->owner, false);
+    }
+}
+
 static size_t
 on_caller_data (void *arg, char *data, size_t len)
 {
@@ -215,6 +266,9 @@
     stream_split_lines (data, len, on_caller_line, c, &used);
   if (!c->closed && len - used > CODEC_MESSAGE_MAX)
     refuse_caller (c, SQC_TOO_LARGE, loop_now_us ());
+  if (!c->closed)
+    cmm_set (&c->gate->memory, &c->memory, c->statement_bytes + len - used);
+  enforce_memory (c->gate);
   return used;
 }
 
@@ -244,9 +298,30 @@
           CALLER_KEEPALIVE_S };
 
   c->gate = g;
+  c->memory.owner = c;
+  c->accepted_us = loop_now_us ();
   c->relay = l->relay;
   c->stream = stream_new (g->options.streams, fd, &options);
   g_ptr_array_add (g->callers, c);
+  g_queue_push_tail (&g->starting, c);
+  c->starting = g->starting.tail;
+}
+
+/* Closes the connection that has been without a session for longest if that is
+   at least FOR_US.  Returns true if it did.  */
+static bool
+expire_start (struct gate *g, int64_t for_us)
+{
+  struct caller *c = g_queue_peek_head (&g->starting);
+
+  if (!c || loop_now_us () - c->accepted_us < for_us)
+    return false;
+  ctr_add (g->options.pooler.counters, CTR_STARTS_EXPIRED, 1);
+  EV (g->options.pooler.log, loop_now_us (), EV_SESSION,
+      EV_TEXT ("why", "not started"),
+      EV_INT ("waited_us", loop_now_us () - c->accepted_us));
+  close_caller (c, false);
+  return true;
 }
 
 static void
@@ -262,7 +337,8 @@
 
       if (fd < 0)
         return;
-      if (g->callers->len < g->options.callers_max)
+      if (g->callers->len < g->options.callers_max
+          || expire_start (g, START_MIN_US))
         accept_caller (l, fd);
       else
         close (fd);
@@ -505,6 +581,7 @@
   g->options.pooler.callers = &g->callers_port;
   g->options.pooler.upstreams = &g->upstreams_port;
   g->callers = g_ptr_array_new ();
+  cmm_init (&g->memory, options->memory_max_bytes / CALLER_MEMORY_PARTS);
   g->resuming = g_ptr_array_new ();
   g->callers_listener.fd = -1;
   g->relay_listener.fd = -1;
@@ -516,9 +593,17 @@
     }
   g->relay_listener.relay = true;
   g->pooler = plr_new (&g->options.pooler);
+  gate_set_memory (g, options->memory_max_bytes);
   return g;
 }
 
+void
+gate_set_memory (struct gate *g, size_t max_bytes)
+{
+  g->memory.max_bytes = max_bytes / CALLER_MEMORY_PARTS;
+  plr_set_session_memory (g->pooler, max_bytes / SESSION_MEMORY_PARTS);
+}
+
 void
 gate_free (struct gate *g)
 {
@@ -534,6 +619,7 @@
   free_listener (&g->relay_listener);
   g_ptr_array_free (g->callers, TRUE);
   g_ptr_array_free (g->resuming, TRUE);
+  cmm_free (&g->memory);
   g_free (g);
 }
 
@@ -589,6 +675,8 @@
 void
 gate_run_due (struct gate *g, int64_t now_us)
 {
+  while (expire_start (g, START_MAX_US))
+    ;
   resume_callers (g);
   /* The tick may write replies, after which callers are resumed again.  */
   if (now_us >= g->tick_us)
--- a/packages/proxy/gate.h
+++ b/packages/proxy/gate.h
@@ -23,6 +23,7 @@
   const char *listen;        /* host:port for callers */
   const char *relay_listen;  /* host:port for other proxies' statements */
   uint32_t callers_max;      /* further connections are closed at once */
+  size_t memory_max_bytes;   /* of the process */
   struct plr_options pooler; /* gate_new sets its ports */
 };
 
@@ -35,6 +36,8 @@
 void gate_free (struct gate *g);
 /* Returns the pooler, owned by G.  */
 struct plr *gate_pooler (struct gate *g);
+/* Changes struct gate_options.memory_max_bytes.  */
+void gate_set_memory (struct gate *g, size_t max_bytes);
 /* Starts to accept connections.  To be called once a configuration is in
    force.  */
 void gate_open (struct gate *g);
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -87,6 +87,10 @@
     [] (const struct platform_settings *s) { return (double)s->grace_ms; } },
   { "limits", "maxFds", 1, 1024,
     [] (const struct platform_settings *s) { return (double)s->fds_max; } },
+  { "limits", "memoryMb", 1, 256,
+    [] (const struct platform_settings *s) {
+      return (double)s->memory_bytes / (1024 * 1024);
+    } },
   { "limits", "cpuShare", 1, 0,
     [] (const struct platform_settings *s) { return s->capacity; } },
 };
