--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -28,6 +28,12 @@
 /* The directory entry of an instance lapses after this time without a
    heartbeat.  */
 #define ENTRY_TTL_US 3600000
+/* Where promotions are late, one in so many is, by 2 to 9 s, and its caller
+   has given up waiting.  */
+#define LATE_ONE_IN 2
+#define LATE_MIN_US 2000000
+#define LATE_MORE_US 7000000
+#define NO_ANSWER_US 1500000
 
 static struct soak soak;
 
@@ -69,6 +75,8 @@
 {
   static const char *const graces_s[] = { "6.5", "6", "5.75" };
 
+  /* Where no fence is checked, a late call can't be made invalid.  */
+  soak.deployment.late_promotions = seed % 4 == 1;
   soak.deployment.sync_replicas = seed % 2;
   soak.deployment.requires_fence = seed / 2 % 2 == 0;
   soak.deployment.grace_s = graces_s[seed % G_N_ELEMENTS (graces_s)];
@@ -76,14 +84,10 @@
 
 /* Simulated store and instances.  */
 
+/* Carries out a promotion.  Returns the status of the call.  */
 static int
-on_promote (void *arg, const char *service, const char *instance,
-            uint64_t token)
+promote (const char *service, const char *instance, uint64_t token)
 {
-  int status = 409;
-
-  (void)arg;
-  g_mutex_lock (&soak.lock);
   for (uint32_t k = 0; k < SOAK_GROUPS; k++)
     if (strcmp (soak.groups[k].name, service) == 0)
       {
@@ -93,9 +97,59 @@
         if (i && !lsv_faults (soak.groups[k].servers[i->index])->unresponsive
             && dbm_promote (soak.groups[k].db, instance, token,
                             loop_now_us ()))
-          status = 200;
+          return 200;
       }
+  return 409;
+}
+
+/* A promotion call that gets no answer and is carried out later.  */
+struct late_promotion
+{
+  int64_t due_us;
+  uint64_t token;
+  char service[16];
+  char instance[16];
+};
+
+static void
+carry_out_late_promotions (int64_t now_us)
+{
+  for (guint n = soak.late->len; n > 0; n--)
+    {
+      struct late_promotion p
+          = g_array_index (soak.late, struct late_promotion, n - 1);
+
+      if (now_us < p.due_us)
+        continue;
+      g_array_remove_index_fast (soak.late, n - 1);
+      promote (p.service, p.instance, p.token);
+    }
+}
+
+static int
+on_promote (void *arg, const char *service, const char *instance,
+            uint64_t token)
+{
+  struct late_promotion late = { 0 };
+  int status = 503;
+
+  (void)arg;
+  g_mutex_lock (&soak.lock);
+  if (soak.deployment.late_promotions
+      && g_rand_int_range (soak.platform_random, 0, LATE_ONE_IN) == 0)
+    {
+      late.due_us = loop_now_us () + LATE_MIN_US
+                    + g_rand_int_range (soak.platform_random, 0, LATE_MORE_US);
+      late.token = token;
+      g_strlcpy (late.service, service, sizeof late.service);
+      g_strlcpy (late.instance, instance, sizeof late.instance);
+      g_array_append_val (soak.late, late);
+    }
+  else
+    status = promote (service, instance, token);
   g_mutex_unlock (&soak.lock);
+  if (late.token > 0)
+    g_usleep (NO_ANSWER_US);
   return status;
 }
 
@@ -478,6 +532,7 @@
 run_step (int64_t now_us)
 {
   inject_faults (now_us);
+  carry_out_late_promotions (now_us);
   update_directory (now_us);
   for (uint32_t n = 0; n < soak.n_vms; n++)
     supervise_vm (&soak.vms[n], now_us);
@@ -599,6 +654,8 @@
 
   signal (SIGPIPE, SIG_IGN);
   soak.random = g_rand_new_with_seed (c->seed);
+  soak.platform_random = g_rand_new_with_seed (c->seed);
+  soak.late = g_array_new (FALSE, FALSE, sizeof (struct late_promotion));
   choose_deployment (c->seed);
   g_random_set_seed (c->seed);
   g_mutex_init (&soak.lock);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -54,7 +54,8 @@
 {
   uint32_t sync_replicas;
   bool requires_fence;
-  const char *grace_s; /* a number in seconds */
+  bool late_promotions; /* calls may be carried out seconds later */
+  const char *grace_s;  /* a number in seconds */
 };
 
 struct soak
@@ -70,6 +71,8 @@
   GPtrArray *links;    /* struct fpx *, to the store and the instances */
   GHashTable *senders; /* statement id -> struct dbm_sender * */
   GRand *random;
+  GRand *platform_random; /* of the promotion calls */
+  GArray *late;           /* struct late_promotion, not carried out yet */
   struct deployment deployment;
   const char *program;
   uint16_t base;            /* first port */
