Failover: who should lead is a file of its own

The functions that tell which instance is or should be primary, and how new a log must be, are moved to presumedprimary.c; one of them is new and holds three lines of promotion.c.

--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -315,9 +315,7 @@
   if (result == SFO_PROMOTED)
     {
       sfo_set_unsettled (sv, NULL);
-      sfo_note_promoted (sv, sv->target_id, now_us);
-      sv->svc->term_floor = MAX (sv->svc->term_floor, sv->next_term);
-      sv->svc->lead_start = LP_NONE;
+      sfo_note_carried_out (sv, now_us);
       sfo_set_state (sv, SFO_CONFIRMING, now_us);
       return;
     }
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -1,7 +1,8 @@
 /* Shared by the files of the failover on the session path: sessionfailover.c
-   (suspicion, votes and claims ahead of need), failoverdecision.c (decisions
-   without state), promotion.c (from the claim to the new primary) and
-   openclaim.c (what a promotion leaves to be done).  */
+   (suspicion, votes and claims ahead of need), presumedprimary.c (who leads),
+   failoverdecision.c (decisions without state), groupmembers.c (who counts),
+   promotion.c (from the claim to the new primary) and openclaim.c (what a
+   promotion leaves to be done).  */
 #ifndef CB_SESSIONFAILOVERINT_H
 #define CB_SESSIONFAILOVERINT_H
 
@@ -109,10 +110,6 @@
 bool sfo_holds_claim (const struct sfo_service *sv);
 void sfo_log_decision (struct sfo_service *sv, const char *what,
                        int64_t now_us);
-/* The instance that is or should be primary: the one that is confirmed, else
-   the one that was promoted since, the one that the directory names in place
-   of the last one confirmed, or that one.  */
-struct svc_instance *sfo_find_primary (struct sfo_service *sv);
 /* Asks the instances for their status.  Where commits need replicas, all must
    have replied since SINCE_US; else those are asked that have an idle
    connection.  */
@@ -138,12 +135,6 @@
 /* The number of VOTERS that act before this proxy, at most a few.  */
 uint32_t sfo_own_rank (const struct sfo *s, const char *service,
                        GHashTable *voters);
-/* Notes that instance ID was promoted, as far as this proxy knows.  */
-void sfo_note_promoted (struct sfo_service *sv, const char *id,
-                        int64_t now_us);
-/* Raises the term that logs must have reached once the promotion is known to
-   be in effect.  */
-void sfo_track_term (struct sfo_service *sv, int64_t now_us);
 /* Begins an attempt to replace PRIMARY, NULL = unknown.  */
 void sfo_begin_attempt (struct sfo_service *sv,
                         const struct svc_instance *primary, int64_t now_us);
@@ -181,6 +172,21 @@
 void sfo_tick_confirming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_promote_retry (struct sfo_service *sv, int64_t now_us);
 
+/* presumedprimary.c */
+
+/* The instance that is or should be primary: the one that is confirmed, else
+   the one that was promoted since, the one that the directory names in place
+   of the last one confirmed, or that one.  */
+struct svc_instance *sfo_find_primary (struct sfo_service *sv);
+/* Notes that instance ID was promoted, as far as this proxy knows.  */
+void sfo_note_promoted (struct sfo_service *sv, const char *id,
+                        int64_t now_us);
+/* Raises the term that logs must have reached once the promotion is known to
+   be in effect.  */
+void sfo_track_term (struct sfo_service *sv, int64_t now_us);
+/* The platform has promoted the target.  */
+void sfo_note_carried_out (struct sfo_service *sv, int64_t now_us);
+
 /* groupmembers.c */
 
 /* Returns the instances of the service as a claim tells them, to be freed;
--- a/tests/unit/formerprimary_test.cc
+++ b/tests/unit/formerprimary_test.cc
@@ -6,6 +6,17 @@
 
 namespace
 {
+// Callers read for N tenths of a second.
+void
+Read (PoolWorld *w, int n)
+{
+  for (; n > 0; n--)
+    {
+      w->Send (w->Open ("own"), STM_READ, nullptr, "a");
+      w->Run (100000);
+    }
+}
+
 // Another proxy promotes i-1 while this one still reaches i-0, which commits
 // on until then.  I-0 keeps these commits, and i-1 those that follow.
 void
@@ -61,11 +72,7 @@
       w.unresponsive["i-1"] = w.unresponsive["i-2"] = true;
       if (c.entry_lapses)
         w.Lapse (&w.group->instances[1]);
-      for (int n = 0; n < 70; n++)
-        {
-          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
-          w.Run (100000);
-        }
+      Read (&w, 70);
       EXPECT_TRUE (w.promoted.empty ()) << c.what;
       // A replica that follows the new primary may take over.
       w.group->instances[2].isolated = false;
@@ -83,11 +90,7 @@
       EXPECT_TRUE (reply.ok);
       dbm_disconnect (conn);
       w.unresponsive["i-2"] = false;
-      for (int n = 0; n < 25; n++)
-        {
-          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
-          w.Run (100000);
-        }
+      Read (&w, 25);
       ASSERT_EQ (w.promoted.size (), 1u) << c.what;
       EXPECT_EQ (w.promoted[0], "i-2") << c.what;
     }
@@ -105,11 +108,7 @@
   PromoteElsewhere (&w, x, true);
   EXPECT_EQ (w.Execute (x, STM_WRITE, nullptr, "a 2"), "ok");
   w.unresponsive["i-1"] = w.unresponsive["i-2"] = true;
-  for (int n = 0; n < 200; n++)
-    {
-      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
-      w.Run (100000);
-    }
+  Read (&w, 200);
   ASSERT_FALSE (w.promoted.empty ());
   EXPECT_EQ (w.promoted[0], "i-0");
 }
@@ -130,11 +129,7 @@
   for (uint32_t k = 0; k < 3; k++)
     w.Register (&w.group->instances[k]);
   w.Lapse (&w.group->instances[0]);
-  for (int n = 0; n < 60; n++)
-    {
-      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
-      w.Run (100000);
-    }
+  Read (&w, 60);
   EXPECT_TRUE (w.promoted.empty ());
 }
 
@@ -157,11 +152,7 @@
                  "ok");
       w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
       w.unresponsive["i-0"] = true;
-      for (int n = 0; n < 40; n++)
-        {
-          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
-          w.Run (100000);
-        }
+      Read (&w, 40);
       EXPECT_EQ (w.promoted.empty (), voters == 1) << voters;
     }
 }
@@ -182,11 +173,7 @@
       w.claim_takes_us = takes_us;
       w.unresponsive["i-0"] = true;
       w.At (2500000, [&w] { w.unresponsive["i-0"] = false; });
-      for (int n = 0; n < 60; n++)
-        {
-          w.Send (w.Open ("own"), STM_READ, nullptr, "a");
-          w.Run (100000);
-        }
+      Read (&w, 60);
       EXPECT_EQ (w.promoted.size (), takes_us < 1000000 ? 1u : 0u) << takes_us;
       ExpectNoBreach (w);
     }
