Failover: comments of the pause and of the term

Two comments were read twice by a newcomer: what the two times of a pause are for, and whose promotion began the next term. No code changes.

--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -13,9 +13,11 @@
 #define STATUS_INTERVAL_US 40000
 /* How long another proxy with a new claim has to promote.  */
 #define OTHER_CLAIM_GRACE_US 1800000
-/* A pause is repeated after this time, and a report of a paused replica counts
-   for so long: it allows for a few refusals as busy.  */
+/* A replica is told to pause again after this time, as its pause may have been
+   ended.  */
 #define PAUSE_REPEAT_US 80000
+/* The report of a paused replica counts for this time, which allows for a few
+   refusals as busy.  */
 #define PAUSE_REPORT_MAX_AGE_US 400000
 /* Wait per rank before a proxy acts, so that usually only one claims.  */
 #define RANK_STEP_US 100000
@@ -54,7 +56,7 @@
   char *promoted_id;
   int64_t promoted_since_us;
   char *leader_id;    /* the same, also after it was confirmed */
-  uint32_t next_term; /* the promotion begins at least this one */
+  uint32_t next_term; /* the promotion of LEADER_ID began at least this one */
   /* The primary that the attempt replaces, NULL = unknown.  */
   char *replaced_id;
   int64_t attempt_since_us;
