A claim taken anew under a primary that leads pauses no replica

Cause: the proxy that took an open claim anew, to resume the replicas, went through the state that pauses them, each 1.2 s while one of them did not reply. Commits waited each time, and a pause could be carried out after the resume.

Change: while the target is the confirmed primary, a state of its own waits for its confirmation and sends no pause.

Without syncReplicas the changed functions do what they did.

--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -100,12 +100,19 @@
     sfo_request_claim (sv, target, now_us);
 }
 
-/* The target is the confirmed primary, and the order only ends the validity of
-   older tokens.  It must have led after the claim was won.  */
-static void
-tick_reconfirming (struct sfo_service *sv, int64_t now_us)
+static bool
+is_target (const struct sfo_service *sv, const struct svc_instance *i)
 {
-  if (!sv->unsettled_id)
+  return i && strcmp (i->entry->id, sv->target_id) == 0;
+}
+
+/* The promotion of the confirmed primary only ends the validity of older
+   tokens.  It must have led after the claim was won.  No replica is paused:
+   the primary goes on.  */
+void
+sfo_tick_reconfirming (struct sfo_service *sv, int64_t now_us)
+{
+  if (!sv->unsettled_id || !is_target (sv, sv->svc->primary))
     sfo_resume_monitoring (sv, 0, now_us);
   else if (svc_confirmed_us (sv->svc) >= sv->claim_won_us)
     sfo_order_promotion (sv, now_us);
@@ -115,12 +122,6 @@
     plr_seek_confirmation (sv->sfo->o.pooler, sv->svc, now_us);
 }
 
-static bool
-is_target (const struct sfo_service *sv, const struct svc_instance *i)
-{
-  return i && strcmp (i->entry->id, sv->target_id) == 0;
-}
-
 void
 sfo_tick_pausing (struct sfo_service *sv, const struct sfo_evidence *e,
                   int64_t now_us)
@@ -128,17 +129,7 @@
   struct svc_instance *replaced = sfo_find_replaced (sv);
   struct svc_instance *target;
 
-  if (sfo_is_overtaken (sv))
-    {
-      sfo_resume_monitoring (sv, 0, now_us);
-      return;
-    }
-  if (is_target (sv, sv->svc->primary))
-    {
-      tick_reconfirming (sv, now_us);
-      return;
-    }
-  if (sfo_is_back (sv, e))
+  if (sfo_is_overtaken (sv) || sfo_is_back (sv, e))
     {
       sfo_resume_monitoring (sv, 0, now_us);
       return;
@@ -209,10 +200,12 @@
   if (sfo_can_step_down (sv)
       && plr_request_step_down (sv->svc->primary, now_us))
     sfo_set_state (sv, SFO_STEPPING_DOWN, now_us);
-  else if (sv->svc->sync_replicas > 0)
-    start_pausing (sv, now_us);
-  else
+  else if (sv->svc->sync_replicas == 0)
     sfo_order_promotion (sv, now_us);
+  else if (is_target (sv, sv->svc->primary))
+    sfo_set_state (sv, SFO_RECONFIRMING, now_us);
+  else
+    start_pausing (sv, now_us);
 }
 
 void
--- a/packages/core/sessionfailover.c
+++ b/packages/core/sessionfailover.c
@@ -532,6 +532,9 @@
     case SFO_PAUSING:
       sfo_tick_pausing (sv, &e, now_us);
       break;
+    case SFO_RECONFIRMING:
+      sfo_tick_reconfirming (sv, now_us);
+      break;
     case SFO_STEPPING_DOWN:
       sfo_tick_stepping_down (sv, now_us);
       break;
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -33,6 +33,9 @@
   SFO_CLAIMING,
   SFO_STEPPING_DOWN,
   SFO_PAUSING, /* waits until the replicas receive nothing any more */
+  /* Waits until the target, which is the primary, has been confirmed since the
+     claim.  */
+  SFO_RECONFIRMING,
   SFO_PROMOTING,
   SFO_PROMOTE_RETRY,
   SFO_CONFIRMING, /* waits until the promoted instance is confirmed primary */
@@ -170,6 +173,7 @@
 void sfo_tick_claiming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_pausing (struct sfo_service *sv, const struct sfo_evidence *e,
                        int64_t now_us);
+void sfo_tick_reconfirming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_stepping_down (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_confirming (struct sfo_service *sv, int64_t now_us);
 void sfo_tick_promote_retry (struct sfo_service *sv, int64_t now_us);
--- a/tests/unit/promotion_test.cc
+++ b/tests/unit/promotion_test.cc
@@ -472,6 +472,38 @@
       }
 }
 
+// Guards against a pause under a primary that leads: the proxy that took the
+// claim anew, to resume the replicas, paused them first, each time while one
+// of them did not reply.
+TEST (SessionFailover, RenewedClaimPausesNoReplica)
+{
+  PoolWorld w (79);
+  w.group->sync_replicas = 1;
+  w.Configure (2);
+  Caller *x = w.Open ("fresh");
+  EXPECT_EQ (w.Execute (x, STM_WRITE, nullptr, "a 1"), "ok");
+  w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+  w.Run (500000);
+  Crash (&w, "i-0");
+  for (int n = 0; n < 40 && w.group->instances[0].primary; n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  ASSERT_EQ (w.promoted.size (), 1u);
+  uint32_t claims = w.claims;
+  uint64_t pauses = w.Counter (CTR_PAUSES);
+  for (int n = 0; n < 140; n++)
+    {
+      w.Send (w.Open ("own"), STM_READ, nullptr, "a");
+      w.Run (100000);
+    }
+  EXPECT_GT (w.claims, claims + 2);
+  EXPECT_EQ (w.claim_target, "");
+  EXPECT_EQ (w.Counter (CTR_PAUSES), pauses);
+  EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 2"), "ok");
+}
+
 // Guards against a pause that is taken to be in force though it has ended: a
 // replica that receives again, because another proxy resumed it or it has
 // started anew, is paused once more before its report counts.
