A leaving primary commits while no replica can take over

Cause: a primary that leaves and can't be told to step down, as it has sent no status, had its replicas paused; when one of them did not reply none was promoted, and the primary led on without a commit being acknowledged.

Change: replicas of a primary that leads are paused only if enough of them have replied in this attempt for one to be promoted.

--- a/packages/core/promotion.c
+++ b/packages/core/promotion.c
@@ -184,6 +184,17 @@
   sfo_order_promotion (sv, now_us);
 }
 
+/* Returns true if enough replicas have replied in this attempt for one of them
+   to be promoted.  Otherwise a primary that leads would not commit any more
+   once the others are paused, and go on to lead.  */
+static bool
+are_replicas_complete (const struct sfo_service *sv, int64_t now_us)
+{
+  return cnd_choose (sv->svc, sfo_find_replaced (sv), NULL,
+                     sv->attempt_since_us, false, now_us)
+         != NULL;
+}
+
 static void
 start_promotion (struct sfo_service *sv, uint64_t token, int64_t now_us)
 {
@@ -204,6 +215,8 @@
     sfo_order_promotion (sv, now_us);
   else if (is_target (sv, sv->svc->primary))
     sfo_set_state (sv, SFO_RECONFIRMING, now_us);
+  else if (sfo_can_step_down (sv) && !are_replicas_complete (sv, now_us))
+    sfo_hold_promotion (sv, now_us);
   else
     start_pausing (sv, now_us);
 }
--- a/tests/unit/poolworld.cc
+++ b/tests/unit/poolworld.cc
@@ -205,7 +205,9 @@
     }
   int64_t done_us = needs_slot ? w->DoneAt (u->instance, sent->id) : w->now_us;
   if (done_us < 0 || (needs_slot && w->Chance (w->faults.busy))
-      || (asks_status && w->Chance (w->faults.status_busy)))
+      || (asks_status
+          && (w->status_refused[u->instance->id]
+              || w->Chance (w->faults.status_busy))))
     {
       done_us = w->now_us;
       memset (&result, 0, sizeof result);
--- a/tests/unit/poolworld.h
+++ b/tests/unit/poolworld.h
@@ -107,6 +107,7 @@
   std::map<std::string, std::vector<int64_t> > slots_us;
   std::map<std::string, bool> unresponsive; // instance id -> does not reply
   std::map<std::string, bool> refused; // instance id -> refuses connections
+  std::map<std::string, bool> status_refused; // the same, status queries
   std::vector<std::unique_ptr<UpConn> > ups;
   std::vector<std::unique_ptr<Caller> > callers;
   std::map<std::string, struct dbm_sender> senders; // by statement id
--- a/tests/unit/promotion_test.cc
+++ b/tests/unit/promotion_test.cc
@@ -504,6 +504,33 @@
   EXPECT_EQ (w.Execute (w.Open ("fresh"), STM_WRITE, nullptr, "a 2"), "ok");
 }
 
+// Guards against a primary that leads and can't commit: it is to leave, could
+// not be told to step down, and the replicas were paused though one of them
+// did not reply, so that none was promoted.
+TEST (SessionFailover, LeavingPrimaryCommitsWhileNoneCanReplaceIt)
+{
+  PoolWorld w (80);
+  w.group->sync_replicas = 1;
+  w.Configure (2);
+  Caller *x = w.Open ("fresh");
+  EXPECT_EQ (w.Execute (x, STM_WRITE, nullptr, "a 1"), "ok");
+  w.Execute (w.Open ("bounded"), STM_READ, nullptr, "a");
+  w.Run (500000);
+  // Without its status it is not told to step down.
+  w.status_refused["i-0"] = true;
+  w.refused["i-2"] = w.group->instances[2].isolated = true;
+  w.Register (&w.group->instances[0], true);
+  int oks = 0;
+  for (int n = 0; n < 100; n++)
+    {
+      oks += w.Execute (x, STM_WRITE, nullptr, "a 2") == "ok" ? 1 : 0;
+      w.Run (30000);
+    }
+  EXPECT_EQ (oks, 100);
+  EXPECT_TRUE (w.promoted.empty ());
+  ExpectNoBreach (w);
+}
+
 // Guards against a pause that is taken to be in force though it has ended: a
 // replica that receives again, because another proxy resumed it or it has
 // started anew, is paused once more before its report counts.
