A closed caller has no statement under way

Cause, by reading: the size of the statement under way stayed with a caller that was closed; a reply after that would take it from nothing, and the budget for callers would seem used up for ever. No run has shown such a reply.

Change: it is reset with the rest. Three comments and sentences that were read twice are plainer.

Evidence: Crowd.ProcessKeepsItsLimitsAndServesOthers and pooler-test (79) pass.

--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -428,7 +428,8 @@
   r->at_us = request->sent_us;
   r->primary = status->primary;
   r->received = status->received;
-  /* Another proxy resumed the replica, or it has started again.  */
+  /* A paused replica receives nothing: another proxy resumed it, or it has
+     started again.  */
   if (lp_compare (r->received, r->paused_at) > 0)
     r->paused_us = 0;
 }
--- a/packages/proxy/callermemory.h
+++ b/packages/proxy/callermemory.h
@@ -14,6 +14,7 @@
   size_t bytes;
 };
 
+/* A budget and who draws on it.  */
 struct cmm_budget
 {
   size_t max_bytes;
--- a/packages/proxy/gate.c
+++ b/packages/proxy/gate.c
@@ -131,6 +131,7 @@
   c->session = NULL;
   end_start (c);
   cmm_set (&g->memory, &c->memory, 0);
+  c->statement_bytes = 0;
   stream_close (c->stream, flush);
   g_ptr_array_remove_fast (g->callers, c);
   if (session)
