--- a/packages/core/poolerint.h
+++ b/packages/core/poolerint.h
@@ -179,6 +179,9 @@
 /* Sends the command that waits for LINK's instance, if any, on LINK, which is
    idle.  Returns true if it was sent.  */
 bool plr_send_command (struct plr *p, struct ul *link, int64_t now_us);
+/* Records RESULT, the reply of I to REQUEST, a status query or command.  */
+void plr_note_status (struct svc_instance *i, const struct ul_request *request,
+                      const struct stm_result *result);
 /* Returns true if a request for PURPOSE awaits the reply of I.  */
 bool plr_is_under_way (const struct svc_instance *i, enum ul_purpose purpose);
 
--- a/packages/core/poolerreply.c
+++ b/packages/core/poolerreply.c
@@ -408,69 +408,6 @@
   fail_statement (p, s, result->code, now_us);
 }
 
-/* Returns true if RESULT, the reply to a command without the status, says that
-   the instance does not know it.  Any other error may pass.  */
-static bool
-is_unknown_command (const struct stm_result *result)
-{
-  return result->ok || result->code == SQC_MALFORMED;
-}
-
-/* Records STATUS, the reply to REQUEST, unless a later request was answered
-   first on another link.  */
-static void
-note_report (struct svc_report *r, const struct ul_request *request,
-             const struct stm_status *status)
-{
-  r->term = MAX (r->term, status->term);
-  if (request->sent_us < r->at_us)
-    return;
-  r->at_us = request->sent_us;
-  r->primary = status->primary;
-  r->received = status->received;
-  /* A paused replica receives nothing: another proxy resumed it, or it has
-     started again.  */
-  if (lp_compare (r->received, r->paused_at) > 0)
-    r->paused_us = 0;
-}
-
-/* Records that I was paused.  A resume that awaits its reply may take effect
-   after the pause.  */
-static void
-note_paused (struct svc_instance *i, const struct ul_request *request,
-             const struct stm_status *status)
-{
-  struct svc_report *r = &i->report;
-
-  if (request->sent_us < r->at_us || plr_is_under_way (i, UL_RESUME))
-    return;
-  r->paused_us = request->sent_us;
-  r->paused_at = status->received;
-}
-
-/* Records the reply to a status query or command.  */
-static void
-on_status (struct ul *link, const struct ul_request *request,
-           const struct stm_result *result)
-{
-  struct svc_report *r = &link->instance->report;
-
-  if (!result->ok || !result->status)
-    {
-      if (request->purpose == UL_PAUSE && is_unknown_command (result))
-        r->refuses_pause = true;
-      return;
-    }
-  note_report (r, request, result->status);
-  if (request->purpose == UL_PAUSE)
-    note_paused (link->instance, request, result->status);
-  if (request->purpose == UL_RESUME)
-    {
-      r->resumed_us = request->sent_us;
-      r->paused_us = 0;
-    }
-}
-
 static void
 note_heard (struct plr *p, struct svc_instance *i, int64_t now_us)
 {
@@ -549,10 +486,10 @@
     case UL_STATUS:
     case UL_PAUSE:
     case UL_RESUME:
-      on_status (link, &request, result);
+      plr_note_status (link->instance, &request, result);
       break;
     case UL_STEP_DOWN:
-      on_status (link, &request, result);
+      plr_note_status (link->instance, &request, result);
       if (result->ok)
         plr_note_not_primary (p, link->instance, now_us);
       break;
