--- a/packages/core/groupmembers.c
+++ b/packages/core/groupmembers.c
@@ -1,7 +1,7 @@
 /* Which instances a service has, where commits wait for replicas.
 
    A replica whose directory entry is gone may be the only one that holds an
-   acknowledged commit.  The claim tells all instances, so that a proxy that
+   acknowledged commit.  The claim lists all instances, so that a proxy that
    starts knows of it too.  */
 #include "sessionfailoverint.h"
 
--- a/packages/core/presumedprimary.c
+++ b/packages/core/presumedprimary.c
@@ -4,7 +4,7 @@
 
 #include <string.h>
 
-/* Longest time until an instance leads for which a claim was taken.  */
+/* Longest time from the claim for a promotion until its target leads.  */
 #define PROMOTION_MAX_US 1200000
 
 /* Returns true if the directory names REGISTERED (may be NULL) as primary, and
--- a/packages/core/sessionfailover.h
+++ b/packages/core/sessionfailover.h
@@ -126,7 +126,7 @@
   uint64_t revision;
   const char *target; /* to be promoted at once; NULL: taken ahead of need */
   /* struct dir_instance *: the instances of SERVICE that its holder knew,
-     where commits wait for replicas; NULL = not told.  */
+     where commits wait for replicas; NULL = not listed.  */
   const GPtrArray *members;
 };
 
--- a/packages/core/sessionfailoverint.h
+++ b/packages/core/sessionfailoverint.h
@@ -67,8 +67,8 @@
   char *target_id;              /* the replica to promote */
   struct logpos known_position; /* of the primary when SFO_COLLECTING began */
   uint64_t claim_revision;      /* 0 = no claim known */
-  char *claim_target;           /* named by the claim, NULL = none is open */
-  char *claim_members;          /* told by the claim, as text; NULL = none */
+  char *claim_target;           /* that the claim names, NULL = none */
+  char *claim_members;     /* that the claim lists, as text; NULL = none */
   char *requested_members; /* the same, of the last claim requested here */
   /* A promotion of this instance got no reply, or its claim belongs to a proxy
      that may have ordered it: it may still be carried out.  NULL = none.  Only
@@ -195,17 +195,17 @@
 
 /* groupmembers.c */
 
-/* Returns the instances of the service as a claim tells them, to be freed;
+/* Returns the instances of the service as a claim lists them, to be freed;
    NULL where commits do not wait for replicas.  The entries are borrowed.  */
 GPtrArray *sfo_list_members (const struct sfo_service *sv);
-/* Notes MEMBERS, which a claim that is requested tells.  */
+/* Records MEMBERS, which the claim that is being requested lists.  */
 void sfo_note_requested_members (struct sfo_service *sv,
                                  const GPtrArray *members);
-/* Notes MEMBERS, which a claim told, may be NULL; adds those that are not
+/* Records MEMBERS, which a claim lists, may be NULL; adds those that are not
    known here.  */
 void sfo_note_members (struct sfo_service *sv, const GPtrArray *members,
                        int64_t now_us);
-/* Returns true if the claim tells other instances than are known here.  */
+/* Returns true if the claim lists other instances than are known here.  */
 bool sfo_are_members_outdated (const struct sfo_service *sv);
 
 /* openclaim.c */
--- a/tests/unit/groupworld_test.cc
+++ b/tests/unit/groupworld_test.cc
@@ -235,10 +235,10 @@
   ChangeReceiver ()
   {
     struct dbm *g = first ()->group;
-    uint64_t deaf = Pick (g->n);
+    uint64_t cut_off = Pick (g->n);
 
     for (uint32_t k = 0; k < g->n; k++)
-      g->instances[k].isolated = k == deaf && !g->instances[k].primary;
+      g->instances[k].isolated = k == cut_off && !g->instances[k].primary;
   }
 
   void
@@ -274,7 +274,7 @@
   }
 
   void
-  Darken (struct dbm_instance *i, int64_t for_us)
+  MakeUnresponsive (struct dbm_instance *i, int64_t for_us)
   {
     SetDead (i, true);
     At (for_us, [this, i] { SetDead (i, false); });
@@ -292,7 +292,8 @@
       {
       case 0: // the primary does not reply for a while
         if (dbm_primary (g))
-          Darken (dbm_primary (g), 1200000 + (int64_t)Pick (2500000));
+          MakeUnresponsive (dbm_primary (g),
+                            1200000 + (int64_t)Pick (2500000));
         trouble_ = Pick (2) == 0;
         break;
       case 1: // one proxy does not reach an instance
