Review case 13: unread answers take a process above its memory

Cause: answers that callers do not read are limited for each connection (8 MiB), not for all together. Done: a script with 48 connections that send reads ahead and read nothing.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -15,7 +15,7 @@
   target/packages/accounts/libaccounts.a"
 common="review/standins-3/deployment.c review/standins-3/instance.c
   review/standins-3/client.c tests/fakes/dbmodel.c tests/fakes/kvstore.c"
-for case in session_values large_session; do
+for case in session_values large_session unread_answers; do
   # shellcheck disable=SC2046,SC2086
   gcc $flags $(pkg-config --cflags $libraries) -o "$out/$case" \
     "review/standins-3/$case.c" $common -Wl,--start-group $archives \
