--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -1,4 +1,4 @@
-/* A small deployment for the scripts of review/11 to review/15: the store, a
+/* A small deployment for the scripts of review/13 to review/15: the store, a
    database group of three instances, and the proxies as separate processes,
    all on loopback.  The store and the database model are the project's own
    fakes; the instances' sockets are in instance.c.  */
