--- a/review/standins-3/deployment.c
+++ b/review/standins-3/deployment.c
@@ -393,6 +393,22 @@
   return kb;
 }
 
+/* Kills V if it has used more than its memory.  */
+static void
+check_memory (struct dep *d, struct dep_vm *v)
+{
+  pid_t pid = v->pid;
+  long kb = v->killed || pid <= 0 ? 0 : dep_peak_kb (v);
+
+  if (kb <= (long)d->o.memory_mb * 1024)
+    return;
+  kill (pid, SIGKILL);
+  v->killed = true;
+  dep_note (d,
+            "platform: %s has used %ld KB, above memoryMb %u, and is killed",
+            v->name, kb, d->o.memory_mb);
+}
+
 static gpointer
 watch_memory (gpointer arg)
 {
@@ -401,19 +417,7 @@
   for (;;)
     {
       for (uint32_t n = 0; n < d->o.n_vms; n++)
-        {
-          struct dep_vm *v = &d->vms[n];
-          long kb = v->killed ? 0 : dep_peak_kb (v);
-
-          if (kb <= (long)d->o.memory_mb * 1024)
-            continue;
-          kill (v->pid, SIGKILL);
-          v->killed = true;
-          dep_note (d,
-                    "platform: %s has used %ld KB, above memoryMb %u, and "
-                    "is killed",
-                    v->name, kb, d->o.memory_mb);
-        }
+        check_memory (d, &d->vms[n]);
       g_usleep (WATCH_MEMORY_US);
     }
   return NULL;
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -64,9 +64,10 @@
 void dep_note (struct dep *d, const char *format, ...) G_GNUC_PRINTF (2, 3);
 /* Ends the run: notes RESULT, stops the deployment and exits with 1 if BROKEN,
    else with 0.  */
-void dep_finish (struct dep *d, bool broken, const char *result);
+void dep_finish (struct dep *d, bool broken,
+                 const char *result) G_GNUC_NORETURN;
 /* Notes REASON, stops the deployment and exits with 2.  */
-void dep_give_up (struct dep *d, const char *reason);
+void dep_give_up (struct dep *d, const char *reason) G_GNUC_NORETURN;
 /* Highest resident memory of the proxy so far in KB, -1 when it has ended.  */
 long dep_peak_kb (const struct dep_vm *v);
 /* From now on the platform kills proxies that exceed memoryMb, and doesn't
--- a/review/standins-3/session_values.c
+++ b/review/standins-3/session_values.c
@@ -114,5 +114,4 @@
   if (!o.trouble && served < ROUNDS * VMS)
     dep_give_up (d, "statements were not served without trouble");
   dep_finish (d, d->group->violations > 0, result);
-  return 2;
 }
--- a/review/standins-3/unread_answers.c
+++ b/review/standins-3/unread_answers.c
@@ -117,5 +117,4 @@
               "were answered afterwards",
               dep_count_killed (d), answered, OTHERS);
   dep_finish (d, dep_count_killed (d) > 0, result);
-  return 2;
 }
