--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts review/13 to review/15 into
+# Builds the stand-ins of the scripts review/11 to review/15 into
 # target/review-3/.  To be run after the build of deploy/system.toml.
 set -e
 cd "$(dirname "$0")/.."
@@ -15,7 +15,7 @@
   target/packages/accounts/libaccounts.a"
 common="review/standins-3/deployment.c review/standins-3/instance.c
   review/standins-3/client.c tests/fakes/dbmodel.c tests/fakes/kvstore.c"
-for case in session_values large_session unread_answers; do
+for case in old_log session_values large_session unread_answers; do
   # shellcheck disable=SC2046,SC2086
   gcc $flags $(pkg-config --cflags $libraries) -o "$out/$case" \
     "review/standins-3/$case.c" $common -Wl,--start-group $archives \
--- a/review/standins-3/deployment.c
+++ b/review/standins-3/deployment.c
@@ -21,6 +21,8 @@
 #define READY_MAX_MS 20000
 #define PORTS_PER_VM 16
 #define WATCH_MEMORY_US 2000
+#define ROLE_CHECK_US 20000
+#define FIRST_BORN_MS INT64_C (1765000000000)
 
 static FILE *record;
 static GMutex record_lock;
@@ -118,9 +120,14 @@
   struct dep *d = arg;
   bool done;
 
+  struct dbm_instance *i = dbm_find (d->group, instance);
+
   g_mutex_lock (&d->lock);
-  done = strcmp (service, DEP_SERVICE) == 0
+  done = strcmp (service, DEP_SERVICE) == 0 && i
+         && d->states[i->index] == INS_UP
          && dbm_promote (d->group, instance, token, loop_now_us ());
+  d->promotions += done ? 1 : 0;
+  d->changes += done ? 1 : 0;
   g_mutex_unlock (&d->lock);
   dep_note (d, "platform: promote %s with token %lu: %s", instance,
             (unsigned long)token, done ? "200" : "409");
@@ -151,36 +158,57 @@
   g_free (text);
 }
 
-/* Writes the instances' entries at each heartbeat.  */
+/* Writes the entry of instance K, or removes it if it was silent for three
+   heartbeat intervals.  */
+static void
+beat_instance (struct dep *d, uint32_t k, uint32_t seq)
+{
+  struct dbm_instance *i = &d->group->instances[k];
+  char *key = g_strconcat ("servers/", i->id, NULL);
+  char *value = NULL;
+  bool up;
+  bool gone;
+
+  g_mutex_lock (&d->lock);
+  up = d->states[k] == INS_UP;
+  gone = !up
+         && loop_now_us () - d->silent_since_us[k]
+                > 3 * HEARTBEAT_MS * INT64_C (1000);
+  if (up)
+    value = g_strdup_printf (
+        "{\"service\":\"" DEP_SERVICE "\",\"address\":\"127.0.0.1:%u\","
+        "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":2,"
+        "\"state\":\"ready\",\"coldLeftMs\":0,\"dbRole\":\"%s\",\"seq\":%u,"
+        "\"born\":%" G_GINT64_FORMAT "}",
+        d->instance_ports[k], zones[k], i->primary ? "primary" : "replica",
+        seq, d->born_ms[k]);
+  g_mutex_unlock (&d->lock);
+  if (value || gone)
+    kvs_put (d->store, key, value);
+  g_free (key);
+  g_free (value);
+}
+
+/* Writes the instances' entries: at each heartbeat, and at once when a role
+   has changed or an instance is back.  */
 static gpointer
 beat (gpointer arg)
 {
   struct dep *d = arg;
+  uint32_t changes = 0;
+  int64_t due_us = 0;
 
-  for (uint32_t seq = 1;; seq++)
+  for (uint32_t seq = 1;; g_usleep (ROLE_CHECK_US))
     {
+      bool changed = changes != d->changes;
+
+      if (!changed && loop_now_us () < due_us)
+        continue;
+      changes = d->changes;
+      due_us = loop_now_us () + HEARTBEAT_MS * INT64_C (1000);
       for (uint32_t k = 0; k < DEP_INSTANCES; k++)
-        {
-          struct dbm_instance *i = &d->group->instances[k];
-          char *key = g_strconcat ("servers/", i->id, NULL);
-          char *value;
-          bool primary;
-
-          g_mutex_lock (&d->lock);
-          primary = i->primary;
-          g_mutex_unlock (&d->lock);
-          value = g_strdup_printf (
-              "{\"service\":\"" DEP_SERVICE "\",\"address\":"
-              "\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
-              "\"slots\":2,\"state\":\"ready\",\"coldLeftMs\":0,"
-              "\"dbRole\":\"%s\",\"seq\":%u,\"born\":1765000000000}",
-              d->instance_ports[k], zones[k], primary ? "primary" : "replica",
-              seq);
-          kvs_put (d->store, key, value);
-          g_free (key);
-          g_free (value);
-        }
-      g_usleep (HEARTBEAT_MS * 1000);
+        beat_instance (d, k, seq);
+      seq++;
     }
   return NULL;
 }
@@ -304,6 +332,7 @@
   d->directory = g_dir_make_tmp ("review-XXXXXX", NULL);
   d->senders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_mutex_init (&d->lock);
+  d->reads = g_ptr_array_new ();
   if (access (PROGRAM, X_OK) != 0 || !choose_addresses (d))
     dep_give_up (d, "no program, or no free ports");
   d->group = dbm_new ("i", DEP_INSTANCES, find_sender, d);
@@ -311,6 +340,7 @@
     {
       d->group->instances[k].connections_max = (uint32_t)options->connections;
       d->group->instances[k].lag_us = 20000;
+      d->born_ms[k] = FIRST_BORN_MS;
       ins_serve (d, k);
     }
   listen = g_strdup_printf ("127.0.0.1:%u", d->store_port);
@@ -331,6 +361,15 @@
   return d;
 }
 
+void
+dep_restart (struct dep *d, struct dep_vm *v)
+{
+  dep_note (d, "%s is killed and starts again", v->name);
+  kill (v->pid, SIGKILL);
+  waitpid (v->pid, NULL, 0);
+  start_vm (d, v, zones[(v - d->vms) % 3]);
+}
+
 void
 dep_stop (struct dep *d)
 {
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -1,4 +1,4 @@
-/* A small deployment for the scripts of review/13 to review/15: the store, a
+/* A small deployment for the scripts of review/11 to review/15: the store, a
    database group of three instances, and the proxies as separate processes,
    all on loopback.  The store and the database model are the project's own
    fakes; the instances' sockets are in instance.c.  */
@@ -26,9 +26,26 @@
   uint32_t memory_mb;  /* limits.memoryMb of each proxy */
   int32_t connections; /* maxConns of the service */
   uint32_t row_bytes;  /* of the row that a read returns */
+  bool keeps_reads;    /* fills struct dep.reads */
   bool trouble;        /* false: TROUBLE=0 */
 };
 
+enum ins_state
+{
+  INS_UP,
+  INS_DOWN, /* its port refuses connections */
+  INS_DARK  /* it is silent */
+};
+
+/* A read that an instance ran with success.  */
+struct dep_read
+{
+  char *id;
+  struct dbm_instance *instance;
+  int64_t first_byte_us;
+  GPtrArray *log; /* struct dbm_entry *: what the instance had then */
+};
+
 struct dep_vm
 {
   char name[32];
@@ -51,6 +68,13 @@
   uint16_t store_port;
   uint16_t instance_ports[DEP_INSTANCES];
   uint32_t runs; /* statements that instances ran */
+  struct instance *servers[DEP_INSTANCES];
+  enum ins_state states[DEP_INSTANCES];
+  int64_t silent_since_us[DEP_INSTANCES]; /* 0 = it writes its entry */
+  int64_t born_ms[DEP_INSTANCES];
+  uint32_t promotions;
+  uint32_t changes; /* of roles, and returns of instances */
+  GPtrArray *reads; /* struct dep_read *, if O.KEEPS_READS */
 };
 
 /* Reads the environment variable TROUBLE.  */
@@ -76,6 +100,11 @@
 /* How many it has killed.  */
 uint32_t dep_count_killed (struct dep *d);
 
+/* Kills the process of V and starts it again.  */
+void dep_restart (struct dep *d, struct dep_vm *v);
+
+/* Sets what instance K answers.  */
+void ins_set_state (struct dep *d, uint32_t k, enum ins_state state);
 /* instance.c: serves instance K of the group on its port, on threads of its
    own.  */
 void ins_serve (struct dep *d, uint32_t k);
--- a/review/standins-3/instance.c
+++ b/review/standins-3/instance.c
@@ -15,6 +15,7 @@
 #define WORK_US 4000
 #define HANDSHAKE_US 12000
 #define READ_BYTES 65536
+#define ACCEPT_PAUSE_US 5000
 
 struct instance
 {
@@ -24,6 +25,7 @@
   GMutex slots_lock;
   GCond slot_free;
   uint32_t running;
+  GPtrArray *conns; /* struct conn * */
 };
 
 struct conn
@@ -32,6 +34,7 @@
   int fd;
   struct dbm_conn *db; /* NULL before STARTUP */
   GString *in;
+  bool silent; /* answers nothing more: the instance went dark */
 };
 
 static void
@@ -120,6 +123,24 @@
   return n;
 }
 
+/* Notes what the log of I holds, for the check at the end.  The group is
+   locked.  */
+static void
+keep_read (struct dep *d, struct dbm_instance *i, const char *id)
+{
+  const struct dbm_sender *sender = g_hash_table_lookup (d->senders, id);
+  struct dep_read *r;
+
+  if (!sender)
+    return;
+  r = g_new0 (struct dep_read, 1);
+  r->id = g_strdup (id);
+  r->instance = i;
+  r->first_byte_us = sender->first_byte_us;
+  r->log = g_ptr_array_copy (i->log, NULL, NULL);
+  g_ptr_array_add (d->reads, r);
+}
+
 static void
 run (struct conn *c, const struct codec_caller *m, GString *out)
 {
@@ -156,6 +177,8 @@
       result.rows_len = d->o.row_bytes + 10;
     }
   codec->ops->write_result (codec, out, &result);
+  if (d->o.keeps_reads && reads && result.ok)
+    keep_read (d, c->db->instance, m->statement.id);
   if (is_work && m->statement.id)
     {
       d->runs++;
@@ -175,9 +198,12 @@
 {
   const struct codec *codec = lin_codec ();
   struct codec_caller m;
-  GString *out = g_string_new (NULL);
+  GString *out;
   bool goes_on = false;
 
+  if (c->silent || c->server->dep->states[c->server->k] != INS_UP)
+    return true;
+  out = g_string_new (NULL);
   codec->ops->read_relay (codec, line, len, &m);
   if (m.kind == CODEC_START && !c->db)
     goes_on = start (c, &m, out);
@@ -186,6 +212,8 @@
       run (c, &m, out);
       goes_on = true;
     }
+  if (c->silent)
+    g_string_truncate (out, 0);
   goes_on = send_all (c->fd, out) && goes_on;
   g_string_free (out, TRUE);
   return goes_on;
@@ -225,8 +253,9 @@
       if (!handle_input (c))
         break;
     }
-  close (c->fd);
   g_mutex_lock (&c->server->dep->lock);
+  g_ptr_array_remove_fast (c->server->conns, c);
+  close (c->fd);
   if (c->db)
     dbm_disconnect (c->db);
   g_mutex_unlock (&c->server->dep->lock);
@@ -247,30 +276,85 @@
       int fd = accept4 (i->fd, NULL, NULL, SOCK_CLOEXEC);
 
       if (fd < 0)
-        continue;
+        {
+          g_usleep (ACCEPT_PAUSE_US);
+          continue;
+        }
       c = g_new0 (struct conn, 1);
       c->server = i;
       c->fd = fd;
+      g_mutex_lock (&i->dep->lock);
+      c->silent = i->dep->states[i->k] != INS_UP;
+      g_ptr_array_add (i->conns, c);
+      g_mutex_unlock (&i->dep->lock);
       g_thread_unref (g_thread_new ("conn", serve_conn, c));
     }
   return NULL;
 }
 
+static bool
+open_port (struct instance *i)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET,
+                           .sin_port = htons (i->dep->instance_ports[i->k]) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+  bool ok;
+
+  inet_pton (AF_INET, "127.0.0.1", &a.sin_addr);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ok = bind (fd, (struct sockaddr *)&a, sizeof a) == 0
+       && listen (fd, 128) == 0;
+  if (ok)
+    i->fd = fd;
+  else
+    close (fd);
+  return ok;
+}
+
+void
+ins_set_state (struct dep *d, uint32_t k, enum ins_state state)
+{
+  static const char *const names[] = { "is back", "crashes", "goes dark" };
+  struct instance *i = d->servers[k];
+  int port = i->fd;
+
+  dep_note (d, "%s %s", d->group->instances[k].id, names[state]);
+  g_mutex_lock (&d->lock);
+  if (state == INS_UP && d->states[k] == INS_DOWN)
+    d->born_ms[k]++;
+  d->states[k] = state;
+  d->changes += state == INS_UP ? 1 : 0;
+  d->silent_since_us[k] = state == INS_UP ? 0 : loop_now_us ();
+  for (guint n = 0; n < i->conns->len; n++)
+    {
+      struct conn *c = g_ptr_array_index (i->conns, n);
+
+      c->silent = true;
+      if (state != INS_DARK)
+        shutdown (c->fd, SHUT_RDWR);
+    }
+  g_mutex_unlock (&d->lock);
+  if (state == INS_DOWN)
+    {
+      i->fd = -1;
+      shutdown (port, SHUT_RDWR);
+      close (port);
+    }
+  else if (i->fd < 0 && !open_port (i))
+    dep_give_up (d, "an instance can't listen again");
+}
+
 void
 ins_serve (struct dep *d, uint32_t k)
 {
   struct instance *i = g_new0 (struct instance, 1);
-  struct sockaddr_in a
-      = { .sin_family = AF_INET, .sin_port = htons (d->instance_ports[k]) };
-  int on = 1;
 
   i->dep = d;
   i->k = k;
-  i->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  inet_pton (AF_INET, "127.0.0.1", &a.sin_addr);
-  setsockopt (i->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (i->fd, (struct sockaddr *)&a, sizeof a) != 0
-      || listen (i->fd, 128) != 0)
+  i->conns = g_ptr_array_new ();
+  d->servers[k] = i;
+  if (!open_port (i))
     dep_give_up (d, "an instance can't listen");
   g_thread_unref (g_thread_new ("accept", accept_conns, i));
 }
