--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts review/11 to review/15 into
+# Builds the stand-ins of the scripts review/11 to review/15 and review/found-3 into
 # target/review-3/.  To be run after the build of deploy/system.toml.
 set -e
 cd "$(dirname "$0")/.."
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -1,7 +1,8 @@
-/* A small deployment for the scripts of review/11 to review/15: the store, a
-   database group of three instances, and the proxies as separate processes,
-   all on loopback.  The store and the database model are the project's own
-   fakes; the instances' sockets are in instance.c.  */
+/* A small deployment for the scripts of review/11 to review/15 and
+   review/found-3: the store, a database group of three instances, and the
+   proxies as separate processes, all on loopback.  The store and the database
+   model are the project's own fakes; the instances' sockets are in instance.c.
+ */
 #ifndef CB_DEPLOYMENT_H
 #define CB_DEPLOYMENT_H
 
